--- /dev/null
+++ b/cmd/pipitgap/main.go
@@ -0,0 +1,89 @@
+// Command pipitgap is a controller of the pipitgap cluster scheduler.
+package main
+
+import (
+	"fmt"
+	"log/slog"
+	"os"
+
+	"github.com/alecthomas/kong"
+
+	"pipitgap/internal/config"
+	"pipitgap/internal/daemon"
+)
+
+// version is the product's version.
+const version = "0.1.0"
+
+type cli struct {
+	Serve   serveCmd   `cmd:"" default:"withargs" help:"Serve as a controller (the default command)."`
+	Check   checkCmd   `cmd:"" help:"Check the settings and say what is wrong, without serving."`
+	Version versionCmd `cmd:"" help:"Print the version."`
+}
+
+type files struct {
+	Config   string `help:"The platform's settings (TOML)." type:"path" required:""`
+	Settings string `help:"The operators' own settings (YAML)." type:"path" optional:""`
+}
+
+func (f *files) load() (*config.Config, config.Settings, error) {
+	cfg, err := config.Load(f.Config)
+	if err != nil {
+		return nil, config.Settings{}, err
+	}
+	set, err := config.LoadSettings(f.Settings)
+	return cfg, set, err
+}
+
+type serveCmd struct {
+	files `embed:""`
+}
+
+func (s *serveCmd) Run(log *slog.Logger) error {
+	cfg, set, err := s.load()
+	if err != nil {
+		return err
+	}
+	return daemon.Run(cfg, set, log)
+}
+
+type checkCmd struct {
+	files `embed:""`
+}
+
+func (s *checkCmd) Run() error {
+	if _, _, err := s.load(); err != nil {
+		return err
+	}
+	fmt.Println("settings are good")
+	return nil
+}
+
+type versionCmd struct{}
+
+func (versionCmd) Run() error {
+	fmt.Println("pipitgap", version)
+	return nil
+}
+
+// level reads LOG_LEVEL; anything unknown is info.
+func level(name string) slog.Level {
+	switch name {
+	case "error":
+		return slog.LevelError
+	case "debug":
+		return slog.LevelDebug
+	}
+	return slog.LevelInfo
+}
+
+func main() {
+	var c cli
+	k := kong.Parse(&c, kong.Name("pipitgap"), kong.Description("A controller of the pipitgap cluster scheduler."), kong.UsageOnError())
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level(os.Getenv("LOG_LEVEL"))}))
+	slog.SetDefault(log)
+	if err := k.Run(log); err != nil {
+		log.Error("pipitgap ends", "err", err.Error())
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/bookkeeping/queue.go
@@ -0,0 +1,111 @@
+package bookkeeping
+
+import (
+	"pipitgap/internal/micros"
+	"pipitgap/internal/protocol"
+)
+
+// Bucket is a token bucket.
+type Bucket struct {
+	Rate  float64 // a second
+	Burst float64
+	have  float64
+	last  micros.T
+	begun bool
+}
+
+// Ready tells how long to wait until n tokens are there.
+func (b *Bucket) Ready(now micros.T, n float64) micros.T {
+	if !b.begun {
+		b.begun, b.have, b.last = true, b.Burst, now
+	}
+	if now > b.last {
+		b.have = min(b.Burst, b.have+b.Rate*(now-b.last).Seconds())
+		b.last = now
+	}
+	n = min(n, b.Burst) // what is larger than the burst goes when the bucket is full
+	if b.have >= n {
+		return 0
+	}
+	return micros.FromSeconds((n-b.have)/b.Rate) + 1
+}
+
+// Take uses n tokens; the bucket may go into debt.
+func (b *Bucket) Take(n float64) { b.have -= n }
+
+// Drain empties the bucket after the other side has said that it is too much.
+func (b *Bucket) Drain() { b.have = min(b.have, 0) }
+
+// Rank orders calls under shortage.
+type Rank int
+
+// Ranks, the most urgent first.
+const (
+	RankLease Rank = iota
+	RankClaim
+	RankCancel
+	RankOutcome
+	RankUser
+	RankAssign
+	RankRest
+	ranks
+)
+
+// Call waits in the queue.
+type Call struct {
+	*protocol.StoreCall
+	Rank  Rank
+	Since micros.T
+	Back  func(protocol.StoreResult)
+}
+
+// Queue paces the calls of one controller to its share of the state service.
+// It holds no clock and makes no calls: Next hands out what may go now.
+type Queue struct {
+	Reads, Writes Bucket
+	InFlight      int
+	MaxInFlight   int
+	pausedUntil   micros.T
+	waiting       [ranks][]Call
+}
+
+// Add queues a call.
+func (q *Queue) Add(c Call) { q.waiting[c.Rank] = append(q.waiting[c.Rank], c) }
+
+// Back puts a call that was throttled in front again and pauses the queue.
+func (q *Queue) Back(c Call, now micros.T) {
+	q.waiting[c.Rank] = append([]Call{c}, q.waiting[c.Rank]...)
+	q.Reads.Drain()
+	q.Writes.Drain()
+	q.pausedUntil = now + 100*micros.Millisecond
+}
+
+// Waiting counts the calls of a rank.
+func (q *Queue) Waiting(r Rank) int { return len(q.waiting[r]) }
+
+// Next gives a call that may be made now, or how long to wait for one (0 with
+// no call: nothing waits, or too much is in flight). Lease touches go into
+// debt rather than wait: the service must not lose its membership to its load.
+func (q *Queue) Next(now micros.T) (c Call, ok bool, wait micros.T) {
+	for r := range q.waiting {
+		if len(q.waiting[r]) == 0 {
+			continue
+		}
+		c := q.waiting[r][0]
+		if Rank(r) != RankLease {
+			if q.InFlight >= q.MaxInFlight {
+				return Call{}, false, 0
+			}
+			if w := max(q.Reads.Ready(now, 1), q.Writes.Ready(now, float64(c.Writes())), q.pausedUntil-now); w > 0 {
+				return Call{}, false, w
+			}
+		}
+		q.waiting[r][0] = Call{}
+		q.waiting[r] = q.waiting[r][1:]
+		q.Reads.Take(1)
+		q.Writes.Take(float64(c.Writes()))
+		q.InFlight++
+		return c, true, 0
+	}
+	return Call{}, false, 0
+}
--- /dev/null
+++ b/internal/coordination/core.go
@@ -0,0 +1,620 @@
+package coordination
+
+import (
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sort"
+
+	"pipitgap/internal/bookkeeping"
+	"pipitgap/internal/config"
+	"pipitgap/internal/micros"
+	"pipitgap/internal/protocol"
+)
+
+// Env is the world as the core sees it. Every callback comes back as a message
+// to the core's mailbox, never on another goroutine.
+type Env interface {
+	Now() micros.T    // the steady clock
+	Wall() int64      // time of day, microseconds
+	Rand() *rand.Rand // injected randomness
+	After(micros.T, func())
+	Store(*protocol.StoreCall, func(protocol.StoreResult))
+	Cloud(*protocol.CloudCall, func(protocol.CloudResult))
+	Command(endpoint string, req *protocol.DoRequest, within micros.T, back func(protocol.DoResult))
+	Peer(node string, hint Hint)
+}
+
+// Hint is what controllers tell each other. Hints only make things faster or
+// tell a common outage from one's own; the store decides.
+type Hint struct {
+	Node        string
+	Incarnation uint64
+	StoreOK     bool     // the sender reached the store lately
+	Nudge       bool     // look at the store now
+	Claimed     []string // machines that the sender has just claimed
+}
+
+// Reply is the answer to a user or a worker.
+type Reply struct {
+	Status     int
+	RetryAfter int
+	Body       []byte
+}
+
+// Durations of the coordination itself; none depends on the deployment.
+const (
+	storeTimeout  = 2 * micros.Second
+	touchTimeout  = 1 * micros.Second
+	watchBlock    = 2 * micros.Second
+	fastTick      = 50 * micros.Millisecond
+	slowTick      = 500 * micros.Millisecond
+	confirmDelay  = 20 * micros.Millisecond
+	commandWithin = 3 * micros.Second
+	rowTasks      = 32 // most tasks of a row; small rows spread a job over the parts
+)
+
+// Core is the actor that decides. All of its methods run on its own goroutine
+// (or, in tests, on the test's).
+type Core struct {
+	cfg  *config.Config
+	set  config.Settings
+	env  Env
+	log  *slog.Logger
+	node string
+	inc  uint64
+	all  []string // every controller's name, ours included
+
+	view  *View
+	queue bookkeeping.Queue
+	armed bool // a timer will run the queue
+
+	ready      bool   // the mirror is complete
+	loadedUpTo uint64 // the watch must reach this before the mirror is complete
+	loading    bool
+	watchGap   micros.T
+	watchAt    micros.T
+	watching   bool
+	lease      uint64
+	leaseSent  micros.T // send time of the last touch that succeeded
+	leaseTTL   micros.T
+	granting   bool
+	touching   bool
+	touchAt    micros.T
+	memberBusy bool
+	leadBusy   bool
+	storeOKAt  micros.T // last answer of the store other than 503 or silence
+	storeBadAt micros.T // last failure
+	storeDown  bool
+	peerOK     map[string]micros.T // when a peer last said that it reaches the store
+	peerSeen   map[string]micros.T
+	hintAt     micros.T
+	deadSince  map[string]micros.T
+
+	types     map[string]protocol.MachineType
+	catalogAt micros.T
+	catalogIn bool
+
+	confirms   []confirm
+	confirmSet bool
+
+	rows       map[string]*rowState // own bookkeeping beside the mirror, by row key
+	teamBusy   map[string]bool
+	jobState   map[string]*jobState
+	outcomes   map[string]map[int]outcome // by row key, then index in the row
+	dirty      bool
+	placeAt    micros.T
+	leader     leaderState
+	redirected map[string]micros.T // machines we sent elsewhere, and when
+	claiming   map[string]bool
+	stateBusy  map[string]bool // machines with a change of state in flight
+	slowAt     micros.T
+	cloudGate  bookkeeping.Bucket
+	stats      stats
+}
+
+type stats struct {
+	accepted, placed, done, failed, conflicts int
+}
+
+// NewCore makes the actor's state.
+func NewCore(cfg *config.Config, set config.Settings, env Env, log *slog.Logger) *Core {
+	c := &Core{
+		cfg: cfg, set: set, env: env, log: log, node: cfg.Node,
+		inc:    env.Rand().Uint64()>>16 | 1,
+		peerOK: map[string]micros.T{}, peerSeen: map[string]micros.T{}, deadSince: map[string]micros.T{},
+		rows: map[string]*rowState{}, teamBusy: map[string]bool{}, jobState: map[string]*jobState{},
+		outcomes: map[string]map[int]outcome{}, redirected: map[string]micros.T{}, claiming: map[string]bool{},
+		stateBusy: map[string]bool{},
+	}
+	c.all = append(c.all, cfg.Node)
+	for _, p := range cfg.Known {
+		c.all = append(c.all, p.Node)
+	}
+	sort.Strings(c.all)
+	c.view = newView(c.touched)
+	st := cfg.Facts.State
+	// A node's share is a good half: load is uneven, and a 429 costs only a pause.
+	share := max(0.5, 1/float64(len(c.all)))
+	c.queue = bookkeeping.Queue{
+		Reads:       bookkeeping.Bucket{Rate: st.RPS * share, Burst: max(2, st.RPS*share/2)},
+		Writes:      bookkeeping.Bucket{Rate: st.WriteRPS * share, Burst: max(float64(st.TxnOps), st.WriteRPS*share/2)},
+		MaxInFlight: 8,
+	}
+	// All watches together use at most a fifth of the store's requests.
+	c.watchGap = max(50*micros.Millisecond, micros.FromSeconds(float64(len(c.all))/(st.RPS*0.2)))
+	lease := micros.FromSeconds(cfg.Facts.Workers.LeaseS)
+	c.leaseTTL = min(max(lease/2, 4*micros.Second), 8*micros.Second)
+	c.cloudGate = bookkeeping.Bucket{Rate: cfg.Facts.Cloud.RPS * 0.8, Burst: max(1, cfg.Facts.Cloud.RPS)}
+	c.leader = newLeaderState(0)
+	return c
+}
+
+// Start begins the actor's work.
+func (c *Core) Start() {
+	c.log.Info("controller starting", "node", c.node, "incarnation", c.inc)
+	c.grant()
+	c.load()
+	c.fetchCatalog()
+	c.tick()
+}
+
+func (c *Core) now() micros.T { return c.env.Now() }
+
+// tick drives everything that is not an answer to a message.
+func (c *Core) tick() {
+	now := c.now()
+	c.fast(now)
+	if now >= c.slowAt {
+		c.slowAt = now + slowTick
+		c.slow(now)
+	}
+	c.env.After(fastTick, c.tick)
+}
+
+func (c *Core) fast(now micros.T) {
+	c.keepLease(now)
+	c.keepWatch(now)
+	if !c.ready {
+		return
+	}
+	c.flushOutcomes(now)
+	if c.dirty && now >= c.placeAt {
+		c.dirty = false
+		c.placeAt = now + 2*fastTick
+		c.place(now)
+	}
+}
+
+func (c *Core) slow(now micros.T) {
+	c.watchStore(now)
+	c.gossip(now)
+	if c.types == nil || now-c.catalogAt > 60*micros.Second {
+		c.fetchCatalog()
+	}
+	if !c.ready {
+		return
+	}
+	c.keepMember()
+	c.election(now)
+	c.tendMachines(now)
+	c.dirty = true
+	c.lead(now)
+}
+
+// touched is called by the view for every change that it applied.
+func (c *Core) touched(kind, name string) {
+	switch kind {
+	case bookkeeping.KindRun, bookkeeping.KindOpen, bookkeeping.KindMachine:
+		c.dirty = true
+	case bookkeeping.KindMember:
+		if c.isLive(name) {
+			delete(c.deadSince, name)
+		}
+	}
+	if kind == bookkeeping.KindOpen {
+		if j := c.view.jobs[name]; j == nil {
+			delete(c.jobState, name)
+			prefix := bookkeeping.Key(bookkeeping.KindRun, name+"/")
+			for k := range c.rows {
+				if len(k) > len(prefix) && k[:len(prefix)] == prefix {
+					delete(c.rows, k)
+				}
+			}
+			return
+		}
+		// A cancellation reaches the workers at once.
+		if j := c.view.jobs[name]; j.version != 0 && j.rec.Status != bookkeeping.Open && j.held > 0 {
+			c.syncJob(j)
+		}
+	}
+	if kind == bookkeeping.KindMachine {
+		if m := c.view.machines[name]; m != nil {
+			c.ownership(m)
+		}
+	}
+}
+
+// ---- calls of the store ----
+
+func (c *Core) call(rank bookkeeping.Rank, sc *protocol.StoreCall, back func(protocol.StoreResult)) {
+	if sc.Within == 0 {
+		sc.Within = storeTimeout
+	}
+	c.queue.Add(bookkeeping.Call{StoreCall: sc, Rank: rank, Since: c.now(), Back: back})
+	c.pump()
+}
+
+// pump makes the calls that the budget allows now.
+func (c *Core) pump() {
+	for {
+		now := c.now()
+		q, ok, wait := c.queue.Next(now)
+		if !ok {
+			if wait > 0 && !c.armed {
+				c.armed = true
+				c.env.After(max(wait, micros.Millisecond), func() { c.armed = false; c.pump() })
+			}
+			return
+		}
+		c.env.Store(q.StoreCall, func(r protocol.StoreResult) {
+			c.queue.InFlight--
+			if r.Outcome == protocol.Throttled {
+				if c.now()-q.Since < 3*micros.Second {
+					c.queue.Back(q, c.now())
+					c.pump()
+					return
+				}
+				r.Outcome = protocol.Unavailable
+			}
+			c.noteStore(r.Outcome)
+			q.Back(r)
+			c.pump()
+		})
+	}
+}
+
+func (c *Core) noteStore(o protocol.Outcome) {
+	now := c.now()
+	switch o {
+	case protocol.Unavailable, protocol.Unknown:
+		c.storeBadAt = now
+	default:
+		c.storeOKAt = now
+	}
+}
+
+// watchStore logs the beginning and the end of an outage, as this node sees it.
+func (c *Core) watchStore(now micros.T) {
+	down := c.storeBadAt > c.storeOKAt && now-c.storeOKAt > micros.Second
+	if down == c.storeDown {
+		return
+	}
+	c.storeDown = down
+	if down {
+		c.log.Info("state service trouble begins", "silent_ms", (now - c.storeOKAt).Millis())
+	} else {
+		c.log.Info("state service trouble ends", "waiting_outcomes", len(c.outcomes))
+	}
+}
+
+// refusedAlone tells whether this node can't use the store while another can:
+// then it must hand its users and workers to the others. In an outage that all
+// share it goes on answering workers, or every lease would lapse.
+func (c *Core) refusedAlone(now micros.T) (peer string, alone bool) {
+	if !c.storeDown || now-c.storeOKAt < 2*micros.Second {
+		return "", false
+	}
+	for _, n := range sortedKeys(c.peerOK) {
+		at := c.peerOK[n]
+		if now-at < 1500*micros.Millisecond && at > c.storeOKAt+1500*micros.Millisecond {
+			return n, true
+		}
+	}
+	return "", false
+}
+
+// commit makes a conditional change; on success it is in the mirror before
+// back is called.
+func (c *Core) commit(rank bookkeeping.Rank, t protocol.Txn, back func(protocol.StoreResult)) {
+	c.call(rank, &protocol.StoreCall{Op: protocol.StoreCommit, Txn: t}, func(r protocol.StoreResult) {
+		if r.Outcome == protocol.OK {
+			c.view.applyTxn(&t, r.Revision)
+		} else if r.Outcome == protocol.Conflict {
+			c.stats.conflicts++
+			c.nudge()
+		}
+		back(r)
+	})
+}
+
+// ---- the mirror ----
+
+// load reads every record but the answers of finished jobs. The watch then goes
+// on from before the first list, so nothing falls between the lists.
+func (c *Core) load() {
+	if c.loading {
+		return
+	}
+	c.loading, c.ready = true, false
+	kinds := []string{
+		bookkeeping.KindAsk, bookkeeping.KindLead, bookkeeping.KindMachine, bookkeeping.KindMember,
+		bookkeeping.KindOpen, bookkeeping.KindRemoval, bookkeeping.KindRun, bookkeeping.KindTeam,
+	}
+	view := newView(func(string, string) {})
+	view.finals = c.view.finals
+	var first, last uint64
+	var page func(k int, after string)
+	page = func(k int, after string) {
+		if k == len(kinds) {
+			c.adopt(view, first, last)
+			return
+		}
+		sc := &protocol.StoreCall{Op: protocol.StoreList, Key: bookkeeping.Key(kinds[k], ""), After: after, Limit: 500}
+		c.call(bookkeeping.RankClaim, sc, func(r protocol.StoreResult) {
+			if r.Outcome != protocol.OK {
+				wait := 200*micros.Millisecond + micros.T(c.env.Rand().Int64N(int64(400*micros.Millisecond)))
+				c.env.After(wait, func() { page(k, after) })
+				return
+			}
+			if first == 0 {
+				first = r.Revision
+			}
+			last = max(last, r.Revision)
+			for _, it := range r.Items {
+				view.put(it.Key, it.Value, it.Version)
+			}
+			if r.More && len(r.Items) > 0 {
+				page(k, r.Items[len(r.Items)-1].Key)
+			} else {
+				page(k+1, "")
+			}
+		})
+	}
+	page(0, "")
+}
+
+// adopt makes a loaded mirror the core's own.
+func (c *Core) adopt(view *View, first, last uint64) {
+	for id, m := range c.view.machines {
+		if m.w != nil && view.machines[id] != nil {
+			view.machines[id].w = m.w
+		}
+	}
+	view.watched, view.touched = first, c.touched
+	c.view = view
+	c.loading, c.loadedUpTo = false, last
+	for _, id := range sortedKeys(view.machines) {
+		c.ownership(view.machines[id])
+	}
+	c.watchAt = 0
+	c.log.Info("records read", "jobs", len(view.jobs), "machines", len(view.machines), "revision", last)
+	if first >= last {
+		c.becomeReady()
+	}
+}
+
+func (c *Core) becomeReady() {
+	c.ready, c.dirty = true, true
+	c.log.Info("mirror complete", "revision", c.view.watched)
+	c.slowAt = 0
+}
+
+func (c *Core) keepWatch(now micros.T) {
+	if c.watching || c.loading || now < c.watchAt || c.view.watched == 0 && c.loadedUpTo == 0 {
+		return
+	}
+	c.watching = true
+	c.watchAt = now + c.watchGap
+	view := c.view
+	sc := &protocol.StoreCall{
+		Op: protocol.StoreWatch, Key: bookkeeping.Root, From: view.watched,
+		Block: watchBlock, Within: watchBlock + 2*micros.Second,
+	}
+	c.queue.Reads.Take(1)
+	c.env.Store(sc, func(r protocol.StoreResult) {
+		c.watching = false
+		if view != c.view {
+			return
+		}
+		switch r.Outcome {
+		case protocol.OK:
+			c.noteStore(r.Outcome)
+			c.view.applyEvents(r.Events, r.Revision)
+			if !c.ready && c.view.watched >= c.loadedUpTo {
+				c.becomeReady()
+			}
+			if len(r.Events) > 0 && c.ready {
+				c.fast(c.now())
+			}
+		case protocol.TooOld:
+			c.log.Info("watch fell behind, reading all records again")
+			c.load()
+		case protocol.Throttled:
+			c.watchAt = c.now() + 100*micros.Millisecond
+		default:
+			c.noteStore(r.Outcome)
+			c.watchAt = c.now() + 300*micros.Millisecond + micros.T(c.env.Rand().Int64N(int64(300*micros.Millisecond)))
+		}
+	})
+}
+
+// nudge has the other side of a conflict looked at soon.
+func (c *Core) nudge() { c.watchAt = min(c.watchAt, c.now()+fastTick/2) }
+
+// ---- membership and leadership ----
+
+func (c *Core) grant() {
+	if c.granting {
+		return
+	}
+	c.granting = true
+	sent := c.now()
+	sc := &protocol.StoreCall{Op: protocol.StoreGrant, TTL: c.leaseTTL, Within: touchTimeout}
+	c.call(bookkeeping.RankLease, sc, func(r protocol.StoreResult) {
+		c.granting = false
+		if r.Outcome != protocol.OK {
+			c.granting = true
+			wait := 300*micros.Millisecond + micros.T(c.env.Rand().Int64N(int64(400*micros.Millisecond)))
+			c.env.After(wait, func() { c.granting = false; c.grant() })
+			return
+		}
+		c.lease, c.leaseSent, c.touchAt = r.Lease, sent, sent+c.leaseTTL/4
+		c.keepMember()
+	})
+}
+
+func (c *Core) keepLease(now micros.T) {
+	if c.lease == 0 || c.touching || now < c.touchAt {
+		return
+	}
+	c.touching = true
+	sent, lease := now, c.lease
+	sc := &protocol.StoreCall{Op: protocol.StoreTouch, Lease: lease, Within: touchTimeout}
+	c.call(bookkeeping.RankLease, sc, func(r protocol.StoreResult) {
+		c.touching = false
+		switch r.Outcome {
+		case protocol.OK:
+			c.leaseSent, c.touchAt = sent, sent+c.leaseTTL/4
+		case protocol.NotFound:
+			c.log.Info("own lease has ended, taking a new one")
+			c.lease = 0
+			c.grant()
+		default:
+			c.touchAt = c.now() + 300*micros.Millisecond
+		}
+	})
+}
+
+// leaseHeld tells whether our lease can't have ended yet, by the steady clock.
+func (c *Core) leaseHeld(now micros.T) bool {
+	return c.lease != 0 && now-c.leaseSent < c.leaseTTL-c.leaseTTL/100
+}
+
+// keepMember writes our member record if the store's isn't ours: an earlier
+// incarnation's late put may overwrite it, or its lease may have taken it along.
+func (c *Core) keepMember() {
+	if !c.ready || c.lease == 0 || c.memberBusy {
+		return
+	}
+	have := c.view.members[c.node]
+	if have.version != 0 && have.rec.Incarnation == c.inc {
+		return
+	}
+	c.memberBusy = true
+	key := bookkeeping.Key(bookkeeping.KindMember, c.node)
+	lease := c.lease
+	t := protocol.Txn{
+		If: []protocol.Cond{{Key: key, Version: have.version}},
+		Then: []protocol.Op{{Put: key, Lease: lease,
+			Value: protocol.MustMarshal(&bookkeeping.Member{Incarnation: c.inc, Zone: c.cfg.Area})}},
+	}
+	c.commit(bookkeeping.RankLease, t, func(r protocol.StoreResult) {
+		c.memberBusy = false
+		if r.Outcome == protocol.Rejected && c.lease == lease {
+			c.lease = 0
+			c.grant()
+		}
+	})
+}
+
+// live lists the controllers that the store holds as members, in order. Our own
+// membership counts only while our lease is surely held.
+func (c *Core) live() []string {
+	out := make([]string, 0, len(c.all))
+	for _, n := range c.all {
+		if _, ok := c.view.members[n]; ok {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+func (c *Core) isLive(node string) bool {
+	_, ok := c.view.members[node]
+	return ok
+}
+
+// leading tells whether we lead, by the mirror and our lease. Commits of the
+// leader are conditional on the lead record as well.
+func (c *Core) leading(now micros.T) bool {
+	return c.ready && c.view.leadVer != 0 && c.view.lead.Node == c.node && c.view.lead.Incarnation == c.inc && c.leaseHeld(now)
+}
+
+func (c *Core) leadCond() protocol.Cond {
+	return protocol.Cond{Key: bookkeeping.LeadKey, Version: c.view.leadVer}
+}
+
+// election takes the lead when nobody has it, or when our own earlier
+// incarnation still holds it.
+func (c *Core) election(now micros.T) {
+	if c.leadBusy || !c.leaseHeld(now) || c.storeDown {
+		return
+	}
+	v := c.view
+	mine := v.leadVer != 0 && v.lead.Node == c.node
+	if v.leadVer != 0 && !(mine && v.lead.Incarnation != c.inc) {
+		return
+	}
+	c.leadBusy = true
+	t := protocol.Txn{
+		If: []protocol.Cond{{Key: bookkeeping.LeadKey, Version: v.leadVer}},
+		Then: []protocol.Op{{Put: bookkeeping.LeadKey, Lease: c.lease,
+			Value: protocol.MustMarshal(&bookkeeping.Lead{Node: c.node, Incarnation: c.inc})}},
+	}
+	c.commit(bookkeeping.RankLease, t, func(r protocol.StoreResult) {
+		c.leadBusy = false
+		if r.Outcome == protocol.OK {
+			c.log.Info("leading", "term", r.Revision)
+		}
+	})
+}
+
+// gossip tells the peers that we live and whether we reach the store.
+func (c *Core) gossip(now micros.T) {
+	ok := !c.storeDown && now-c.storeOKAt < 1500*micros.Millisecond
+	for _, p := range c.cfg.Known {
+		c.env.Peer(p.Node, Hint{Node: c.node, Incarnation: c.inc, StoreOK: ok})
+	}
+}
+
+// OnHint takes a peer's word.
+func (c *Core) OnHint(h Hint) {
+	now := c.now()
+	c.peerSeen[h.Node] = now
+	if h.StoreOK {
+		c.peerOK[h.Node] = now
+	}
+}
+
+// fetchCatalog reads the machine types.
+func (c *Core) fetchCatalog() {
+	if c.catalogIn || c.cloudGate.Ready(c.now(), 1) > 0 {
+		return
+	}
+	c.catalogIn = true
+	c.cloudGate.Take(1)
+	c.env.Cloud(&protocol.CloudCall{Op: protocol.CloudCatalog, Within: 3 * micros.Second}, func(r protocol.CloudResult) {
+		c.catalogIn = false
+		if r.Outcome != protocol.OK || len(r.Types) == 0 {
+			return
+		}
+		c.catalogAt = c.now()
+		types := map[string]protocol.MachineType{}
+		for _, t := range r.Types {
+			if t.Name != "" && t.CPUs > 0 && t.Price > 0 {
+				types[t.Name] = t
+			}
+		}
+		if len(types) > 0 {
+			c.types = types
+			c.dirty = true
+		}
+	})
+}
+
+// Summary is one line about the node, for the log.
+func (c *Core) Summary() string {
+	return fmt.Sprintf("jobs %d machines %d members %d accepted %d placed %d done %d conflicts %d",
+		len(c.view.jobs), len(c.view.machines), len(c.view.members), c.stats.accepted, c.stats.placed, c.stats.done, c.stats.conflicts)
+}
--- /dev/null
+++ b/internal/coordination/place.go
@@ -0,0 +1,499 @@
+package coordination
+
+import (
+	"math"
+	"sort"
+
+	"pipitgap/internal/bookkeeping"
+	"pipitgap/internal/micros"
+	"pipitgap/internal/protocol"
+)
+
+// Bounds of one placement pass.
+const (
+	fullSearch  = 48 // with more machines than this a sample is looked at
+	sampleSize  = 24
+	rowsPerPass = 16 // rows of one job looked at in a pass
+	handPause   = 1 * micros.Second
+)
+
+// rowState is what a controller notes about a row beside the mirror.
+type rowState struct {
+	busy       bool // a commit of ours is in flight
+	pauseUntil micros.T
+	handedAt   micros.T
+}
+
+func (c *Core) row(key string) *rowState {
+	s := c.rows[key]
+	if s == nil {
+		s = &rowState{}
+		c.rows[key] = s
+	}
+	return s
+}
+
+// candidate is a machine with the room that a pass still has on it.
+type candidate struct {
+	m      *machine
+	free   amount
+	closed bool // closing: reopened if nothing else has room
+}
+
+// usable tells whether new tasks may go to a machine of ours.
+func (c *Core) usable(m *machine, now micros.T) bool {
+	w := m.w
+	if w == nil || w.lost || w.noticed || w.session == 0 || w.faulty() {
+		return false
+	}
+	if m.rec.State != bookkeeping.MachineOpen && m.rec.State != bookkeeping.MachineClosing {
+		return false
+	}
+	report := micros.FromSeconds(c.cfg.Facts.Workers.ReportS)
+	return now-w.heardAt < 2*report+micros.Second && c.view.watched >= w.claimVersion
+}
+
+// candidates lists our machines with room.
+func (c *Core) candidates(now micros.T) []*candidate {
+	var out []*candidate
+	for _, id := range sortedKeys(c.view.machines) {
+		m := c.view.machines[id]
+		if m.version == 0 || !c.usable(m, now) {
+			continue
+		}
+		t, ok := c.types[m.rec.Type]
+		if !ok {
+			continue
+		}
+		free := capacity(&t).plus(m.used, -1).plus(m.w.reserved, -1)
+		out = append(out, &candidate{m: m, free: free, closed: m.rec.State == bookkeeping.MachineClosing})
+	}
+	return out
+}
+
+// mayRun tells whether a job's tasks may run on a machine.
+func mayRun(s *bookkeeping.Spec, m *bookkeeping.Machine) bool {
+	return allowed(s, m.Type, m.Zone) && (s.Spot || !m.Spot)
+}
+
+// urgency orders jobs: higher priority, then the earlier deadline, then the
+// earlier acceptance.
+func urgency(a, b *job) bool {
+	if a.rec.Spec.Priority != b.rec.Spec.Priority {
+		return a.rec.Spec.Priority > b.rec.Spec.Priority
+	}
+	if da, db := due(a), due(b); da != db {
+		return da < db
+	}
+	if a.rec.At != b.rec.At {
+		return a.rec.At < b.rec.At
+	}
+	return a.id < b.id
+}
+
+func due(j *job) int64 {
+	if j.rec.Spec.DeadlineS == 0 {
+		return math.MaxInt64
+	}
+	return j.rec.At + int64(micros.FromSeconds(j.rec.Spec.DeadlineS))
+}
+
+// openJobs lists unfinished jobs, the most urgent first.
+func (c *Core) openJobs() []*job {
+	var out []*job
+	for _, j := range c.view.jobs {
+		if j.open() && j.done+j.held < j.rec.Spec.Tasks {
+			out = append(out, j)
+		}
+	}
+	sort.Slice(out, func(a, b int) bool { return urgency(out[a], out[b]) })
+	return out
+}
+
+// rowOwner names the part that places a chunk's pending tasks.
+func rowOwner(j *job, chunk int) string {
+	if r := j.rows[chunk]; r != nil && r.rec != nil {
+		return r.rec.Owner
+	}
+	return j.rec.Owner
+}
+
+// batch gathers the assignments of one team into one commit.
+type batch struct {
+	team  string
+	txn   protocol.Txn
+	conds map[string]bool
+	rows  []string
+	open  []string // fenced jobs
+	uses  map[*machine]amount
+}
+
+func (b *batch) cond(key string, version uint64) {
+	if !b.conds[key] {
+		b.conds[key] = true
+		b.txn.If = append(b.txn.If, protocol.Cond{Key: key, Version: version})
+	}
+}
+
+// place gives pending tasks of our rows to our machines, and hands rows on
+// whose tasks fit here no more but elsewhere.
+func (c *Core) place(now micros.T) {
+	if c.types == nil || c.storeDown || !c.leaseHeld(now) {
+		return
+	}
+	cands := c.candidates(now)
+	parts := c.partRooms()
+	batches := map[string]*batch{}
+	var order []string
+	teamLeft := map[string]amount{}
+	st := c.cfg.Facts.State
+	for _, j := range c.openJobs() {
+		spec := &j.rec.Spec
+		if s := c.jobState[j.id]; s != nil && now < s.until {
+			continue
+		}
+		team, _ := c.team(spec.Team)
+		if c.teamBusy[spec.Team] {
+			continue
+		}
+		openKey := bookkeeping.Key(bookkeeping.KindOpen, j.id)
+		fenced := spec.OneZone || spec.Spread
+		if fenced && c.row(openKey).busy {
+			continue
+		}
+		left, ok := teamLeft[spec.Team]
+		if !ok {
+			left = team.left(c.view.teamUse[spec.Team])
+			teamLeft[spec.Team] = left
+		}
+		zones := newZoneRule(c.view, j)
+		looked := 0
+		for chunk := 0; chunk < j.chunks() && looked < rowsPerPass; chunk++ {
+			if rowOwner(j, chunk) != c.node {
+				continue
+			}
+			var version uint64
+			pending := j.chunkSize(chunk)
+			if r := j.rows[chunk]; r != nil {
+				if r.rec == nil {
+					continue
+				}
+				version, pending = r.version, r.pending
+			}
+			if pending == 0 {
+				continue
+			}
+			key := bookkeeping.RowKey(j.id, chunk)
+			rs := c.row(key)
+			if rs.busy || now < rs.pauseUntil {
+				continue
+			}
+			looked++
+			next := &bookkeeping.Row{Owner: c.node, Tasks: make([]bookkeeping.Task, j.chunkSize(chunk))}
+			if version != 0 {
+				next = j.rows[chunk].rec.Clone()
+			}
+			b := batches[spec.Team]
+			if b == nil {
+				b = &batch{team: spec.Team, conds: map[string]bool{}, uses: map[*machine]amount{}}
+				batches[spec.Team] = b
+				order = append(order, spec.Team)
+				if team.limited() {
+					tk := bookkeeping.Key(bookkeeping.KindTeam, spec.Team)
+					b.cond(tk, c.view.teams[spec.Team])
+					b.txn.Then = append(b.txn.Then, protocol.Op{Put: tk,
+						Value: protocol.MustMarshal(&bookkeeping.TeamFence{Count: c.view.teams[spec.Team] + 1})})
+				}
+			}
+			// A row needs its own put, at most one machine reopened a task, and a fence.
+			if len(b.txn.Then)+2 > st.TxnOps || len(b.txn.If)+4 > 4*st.TxnOps {
+				break
+			}
+			placed, limited, roomless := 0, false, false
+			for i := range next.Tasks {
+				task := &next.Tasks[i]
+				if task.State != bookkeeping.TaskPending {
+					continue
+				}
+				if !j.need.fits(left) {
+					limited = true
+					break
+				}
+				if len(b.txn.If)+4 > 4*st.TxnOps {
+					limited = true
+					break
+				}
+				cd := c.choose(j, cands, zones, b, st.TxnOps)
+				if cd == nil {
+					roomless = true
+					break
+				}
+				if cd.closed {
+					cd.closed = false
+					rec := cd.m.rec
+					rec.State = bookkeeping.MachineOpen
+					b.txn.Then = append(b.txn.Then, protocol.Op{Put: bookkeeping.Key(bookkeeping.KindMachine, cd.m.id),
+						Value: protocol.MustMarshal(&rec)})
+				}
+				cd.free = cd.free.plus(j.need, -1)
+				left = left.plus(j.need, -1)
+				b.uses[cd.m] = b.uses[cd.m].plus(j.need, 1)
+				b.cond(bookkeeping.Key(bookkeeping.KindMachine, cd.m.id), cd.m.version)
+				cd.m.w.images[spec.Image] = now
+				zones.add(cd.m.rec.Zone)
+				task.State, task.Machine = bookkeeping.TaskAssigned, cd.m.id
+				task.Attempt++
+				placed++
+			}
+			teamLeft[spec.Team] = left
+			handTo := ""
+			if roomless && now-rs.handedAt > handPause {
+				handTo = parts.best(j, c.node, pending-placed)
+			}
+			if placed == 0 && handTo == "" {
+				if roomless {
+					break // the job's other rows won't fit here either
+				}
+				if limited {
+					break
+				}
+				continue
+			}
+			if handTo != "" {
+				rs.handedAt = now
+				next.Owner = handTo
+				c.log.Debug("row handed on", "row", key, "to", handTo, "pending", pending-placed)
+			}
+			b.cond(openKey, j.version)
+			b.cond(key, version)
+			b.txn.Then = append(b.txn.Then, protocol.Op{Put: key, Value: next.Encode()})
+			b.rows = append(b.rows, key)
+			if fenced && placed > 0 {
+				rec := j.rec
+				rec.Fence++
+				b.txn.Then = append(b.txn.Then, protocol.Op{Put: openKey, Value: protocol.MustMarshal(&rec)})
+				b.open = append(b.open, openKey)
+				break // one row of a fenced job a commit
+			}
+			if limited {
+				break
+			}
+		}
+	}
+	for _, team := range order {
+		c.assign(batches[team])
+	}
+}
+
+// assign commits a batch and then starts its tasks.
+func (c *Core) assign(b *batch) {
+	if len(b.rows) == 0 {
+		return
+	}
+	limit, _ := c.team(b.team)
+	if limit.limited() && len(b.uses) > 0 {
+		c.teamBusy[b.team] = true
+	}
+	if limit.limited() && len(b.uses) == 0 {
+		// Only handed on: the team's fence need not move.
+		b.txn.If, b.txn.Then = b.txn.If[1:], b.txn.Then[1:]
+	}
+	for _, k := range append(b.rows, b.open...) {
+		c.row(k).busy = true
+	}
+	for m, a := range b.uses {
+		m.w.reserved = m.w.reserved.plus(a, 1)
+	}
+	c.commit(bookkeeping.RankAssign, b.txn, func(r protocol.StoreResult) {
+		delete(c.teamBusy, b.team)
+		for _, k := range append(b.rows, b.open...) {
+			s := c.row(k)
+			s.busy = false
+			if r.Outcome != protocol.OK {
+				s.pauseUntil = c.now() + 60*micros.Millisecond
+			}
+		}
+		for m, a := range b.uses {
+			if m.w != nil {
+				m.w.reserved = m.w.reserved.plus(a, -1)
+				if m.w.reserved.cpus < slack {
+					m.w.reserved = amount{}
+				}
+			}
+		}
+		c.dirty = true
+		if r.Outcome != protocol.OK {
+			c.log.Debug("assignment not made", "team", b.team, "rows", len(b.rows), "outcome", r.Outcome.String(), "failed", r.Failed)
+			return
+		}
+		c.stats.placed += len(b.uses)
+		machines := make([]*machine, 0, len(b.uses))
+		for m := range b.uses {
+			machines = append(machines, m)
+		}
+		sort.Slice(machines, func(x, y int) bool { return machines[x].id < machines[y].id })
+		for _, m := range machines {
+			if m.w != nil {
+				c.sync(m)
+			}
+		}
+	})
+}
+
+// choose picks the machine for a task: spot before ordinary where the job may,
+// one that has the image, the tightest fit. With many machines it looks at a
+// sample.
+func (c *Core) choose(j *job, cands []*candidate, zones *zoneRule, b *batch, txnOps int) *candidate {
+	var best *candidate
+	bestScore := math.Inf(1)
+	look := func(cd *candidate) {
+		spec := &j.rec.Spec
+		if !j.need.fits(cd.free) || !mayRun(spec, &cd.m.rec) || !zones.ok(cd.m.rec.Zone) {
+			return
+		}
+		if s := c.jobState[j.id]; s != nil && s.failedOn[cd.m.id] {
+			return
+		}
+		if cd.closed && len(b.txn.Then)+4 > txnOps {
+			return
+		}
+		score := cd.free.cpus
+		if spec.Spot && !cd.m.rec.Spot {
+			score += 1e6
+		}
+		if cd.closed {
+			score += 1e5
+		}
+		if _, has := cd.m.w.images[spec.Image]; !has {
+			score += 4 * spec.ImageGB
+		}
+		if score < bestScore {
+			best, bestScore = cd, score
+		}
+	}
+	if len(cands) <= fullSearch {
+		for _, cd := range cands {
+			look(cd)
+		}
+		return best
+	}
+	for i := 0; i < sampleSize; i++ {
+		look(cands[c.env.Rand().IntN(len(cands))])
+	}
+	if best == nil { // a full search before saying that there is no room
+		for _, cd := range cands {
+			look(cd)
+		}
+	}
+	return best
+}
+
+// zoneRule keeps one_zone and apart. It knows where the job's other tasks are;
+// the fence on the job's record keeps that knowledge exact at the commit.
+type zoneRule struct {
+	oneZone, spread bool
+	most            int
+	in              map[string]int
+}
+
+func newZoneRule(v *View, j *job) *zoneRule {
+	s := &j.rec.Spec
+	z := &zoneRule{oneZone: s.OneZone, spread: s.Spread, most: (s.Tasks + 1) / 2, in: map[string]int{}}
+	if !z.oneZone && !z.spread {
+		return z
+	}
+	for _, r := range j.rows {
+		if r.rec == nil {
+			continue
+		}
+		for i := range r.rec.Tasks {
+			if t := &r.rec.Tasks[i]; t.State == bookkeeping.TaskAssigned {
+				if m := v.machines[t.Machine]; m != nil {
+					z.in[m.rec.Zone]++
+				}
+			}
+		}
+	}
+	return z
+}
+
+func (z *zoneRule) ok(zone string) bool {
+	if z.oneZone && len(z.in) > 0 && z.in[zone] == 0 {
+		return false
+	}
+	return !z.spread || z.in[zone] < z.most
+}
+
+func (z *zoneRule) add(zone string) {
+	if z.oneZone || z.spread {
+		z.in[zone]++
+	}
+}
+
+// partRooms is the free room of every part, from the mirror.
+type partRooms struct {
+	core  *Core
+	parts map[string][]*candidate
+}
+
+func (c *Core) partRooms() *partRooms {
+	p := &partRooms{core: c, parts: map[string][]*candidate{}}
+	for _, id := range sortedKeys(c.view.machines) {
+		m := c.view.machines[id]
+		t, ok := c.types[m.rec.Type]
+		if !ok || m.version == 0 || !c.isLive(m.rec.Owner) ||
+			m.rec.State != bookkeeping.MachineOpen && m.rec.State != bookkeeping.MachineClosing {
+			continue
+		}
+		p.parts[m.rec.Owner] = append(p.parts[m.rec.Owner], &candidate{m: m, free: capacity(&t).plus(m.used, -1)})
+	}
+	return p
+}
+
+// room counts the tasks of a job that fit into a part.
+func (p *partRooms) room(s *bookkeeping.Spec, part string) int {
+	need := amount{s.CPUs, s.GPUs, s.MemoryGB}
+	n := 0
+	for _, cd := range p.parts[part] {
+		if mayRun(s, &cd.m.rec) {
+			n += need.count(cd.free)
+		}
+	}
+	return n
+}
+
+// best names the part with most room for a job, other than ours, and takes the
+// room that want tasks will use; "" if none has any.
+func (p *partRooms) best(j *job, not string, want int) string {
+	most, part := 0, ""
+	for _, n := range p.core.live() {
+		if n == not {
+			continue
+		}
+		if r := p.room(&j.rec.Spec, n); r > most {
+			most, part = r, n
+		}
+	}
+	if part != "" {
+		for _, cd := range p.parts[part] {
+			if mayRun(&j.rec.Spec, &cd.m.rec) {
+				n := min(want, j.need.count(cd.free))
+				cd.free = cd.free.plus(j.need, -float64(n))
+				want -= n
+			}
+		}
+	}
+	return part
+}
+
+// roomiest names the part with most room for a new job: ours if none has any.
+func (c *Core) roomiest(s *bookkeeping.Spec) string {
+	p := c.partRooms()
+	best, most := c.node, p.room(s, c.node)
+	for _, n := range c.live() {
+		if r := p.room(s, n); r > most {
+			best, most = n, r
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/coordination/plan.go
@@ -0,0 +1,132 @@
+package coordination
+
+import (
+	"sort"
+
+	"pipitgap/internal/bookkeeping"
+)
+
+// offer is something that can be rented.
+type offer struct {
+	typ, zone string
+	spot      bool
+}
+
+// offerInfo is what the planner knows of an offer.
+type offerInfo struct {
+	offer
+	capacity amount
+	price    float64
+	have     int // machines of ours in that zone, for ties
+}
+
+// demand is a number of like tasks that found no room.
+type demand struct {
+	spec  *bookkeeping.Spec
+	need  amount
+	count int
+	job   string
+	index int // place in the order of urgency
+}
+
+// bin is a machine with room, there already or requested.
+type bin struct {
+	typ, zone string
+	spot      bool
+	free      amount
+}
+
+func (d *demand) mayUse(typ, zone string, spot bool) bool {
+	return allowed(d.spec, typ, zone) && (d.spec.Spot || !spot)
+}
+
+// largestFirst sorts demands by the design's rule.
+func largestFirst(ds []*demand) {
+	sort.SliceStable(ds, func(a, b int) bool {
+		x, y := ds[a], ds[b]
+		if x.need.gpus != y.need.gpus {
+			return x.need.gpus > y.need.gpus
+		}
+		if x.need.cpus != y.need.cpus {
+			return x.need.cpus > y.need.cpus
+		}
+		if x.need.mem != y.need.mem {
+			return x.need.mem > y.need.mem
+		}
+		return x.index < y.index
+	})
+}
+
+// fill takes from the demands what fits into the bins.
+func fill(ds []*demand, bins []*bin) {
+	for _, d := range ds {
+		// A task that may use spot machines leaves the others to those that may not.
+		for _, spot := range []bool{true, false} {
+			if spot && !d.spec.Spot {
+				continue
+			}
+			for _, b := range bins {
+				if d.count == 0 {
+					break
+				}
+				if b.spot != spot || !d.mayUse(b.typ, b.zone, b.spot) {
+					continue
+				}
+				n := min(d.count, d.need.count(b.free))
+				b.free = b.free.plus(d.need, -float64(n))
+				d.count -= n
+			}
+		}
+	}
+}
+
+// packing is what one machine of an offer would carry.
+func packing(o *offerInfo, ds []*demand) (take []int, cpus float64) {
+	free := o.capacity
+	take = make([]int, len(ds))
+	for i, d := range ds {
+		if d.count == 0 || !d.mayUse(o.typ, o.zone, o.spot) {
+			continue
+		}
+		n := min(d.count, d.need.count(free))
+		free = free.plus(d.need, -float64(n))
+		take[i] = n
+		cpus += float64(n) * d.need.cpus
+	}
+	return take, cpus
+}
+
+// plan chooses what to rent for demands that fit nowhere: each time the offer
+// with the best price for the CPUs that would be used, ties to the zone with
+// fewest machines. What remains of the demands can't be met now.
+func plan(ds []*demand, offers []*offerInfo, most int) map[offer]int {
+	out := map[offer]int{}
+	for n := 0; n < most; n++ {
+		var best *offerInfo
+		var bestTake []int
+		bestCost := 0.0
+		for _, o := range offers {
+			take, cpus := packing(o, ds)
+			if cpus <= 0 {
+				continue
+			}
+			cost := o.price / cpus
+			if best == nil || cost < bestCost-1e-9 || cost < bestCost+1e-9 && o.have < best.have {
+				best, bestTake, bestCost = o, take, cost
+			}
+		}
+		if best == nil {
+			break
+		}
+		for i, k := range bestTake {
+			ds[i].count -= k
+		}
+		out[best.offer]++
+		for _, o := range offers {
+			if o.zone == best.zone {
+				o.have++
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/protocol/messages.go
@@ -0,0 +1,362 @@
+// Package protocol holds the messages of the service's interfaces. Wire names
+// stand only here; the rest of the code uses the field's own terms.
+package protocol
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Raw is an undecoded MessagePack value.
+type Raw = msgpack.RawMessage
+
+// Marshal encodes a message, integers in their short form.
+func Marshal(v any) ([]byte, error) {
+	var b bytes.Buffer
+	enc := msgpack.NewEncoder(&b)
+	enc.UseCompactInts(true)
+	if err := enc.Encode(v); err != nil {
+		return nil, err
+	}
+	return b.Bytes(), nil
+}
+
+// MustMarshal is for values of the service's own types, whose encoding can't fail.
+func MustMarshal(v any) []byte {
+	b, err := Marshal(v)
+	if err != nil {
+		panic(fmt.Sprintf("encoding %T: %v", v, err))
+	}
+	return b
+}
+
+// ErrMalformed says that bytes are not one bounded MessagePack value.
+var ErrMalformed = errors.New("not a MessagePack message")
+
+// Unmarshal checks the shape first: a hostile length or depth must cost nothing.
+func Unmarshal(b []byte, v any) error {
+	if err := Check(b); err != nil {
+		return err
+	}
+	if err := msgpack.Unmarshal(b, v); err != nil {
+		return fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	return nil
+}
+
+// Check walks one MessagePack value without building anything: every length
+// must be covered by the bytes that follow, and nesting is bounded.
+func Check(b []byte) error {
+	const depth = 32
+	var left [depth]int // values still to come, a level each
+	level := 0
+	left[0] = 1
+	i := 0
+	need := func(n int) bool { return n >= 0 && len(b)-i >= n }
+	size := func(n int) int { // reads a big-endian length of n bytes
+		if !need(n) {
+			return -1
+		}
+		v := 0
+		for _, c := range b[i : i+n] {
+			v = v<<8 | int(c)
+		}
+		i += n
+		return v
+	}
+	for {
+		for left[level] == 0 {
+			if level == 0 {
+				if i != len(b) {
+					return ErrMalformed
+				}
+				return nil
+			}
+			level--
+		}
+		left[level]--
+		if !need(1) {
+			return ErrMalformed
+		}
+		c := b[i]
+		i++
+		skip, nest := 0, -1
+		switch {
+		case c <= 0x7f || c >= 0xe0 || c == 0xc0 || c == 0xc2 || c == 0xc3:
+		case c <= 0x8f:
+			nest = 2 * int(c&0x0f)
+		case c <= 0x9f:
+			nest = int(c & 0x0f)
+		case c <= 0xbf:
+			skip = int(c & 0x1f)
+		case c == 0xca:
+			skip = 4
+		case c == 0xcb:
+			skip = 8
+		case c >= 0xcc && c <= 0xcf:
+			skip = 1 << (c - 0xcc)
+		case c >= 0xd0 && c <= 0xd3:
+			skip = 1 << (c - 0xd0)
+		case c >= 0xd9 && c <= 0xdb:
+			skip = size(1 << (c - 0xd9))
+		case c == 0xdc || c == 0xdd:
+			nest = size(2 << (c - 0xdc))
+			if nest < 0 {
+				return ErrMalformed
+			}
+		case c == 0xde || c == 0xdf:
+			nest = size(2 << (c - 0xde))
+			if nest < 0 {
+				return ErrMalformed
+			}
+			nest *= 2
+		default: // binary data and extensions are not part of the protocol
+			return ErrMalformed
+		}
+		if skip != 0 {
+			if !need(skip) {
+				return ErrMalformed
+			}
+			i += skip
+		}
+		if nest >= 0 {
+			if nest > len(b)-i || level+1 >= depth {
+				return ErrMalformed
+			}
+			level++
+			left[level] = nest
+		}
+	}
+}
+
+// Task states, causes and commands on the wire.
+const (
+	StatePulling  = "pulling"
+	StateRunning  = "running"
+	StateFlushing = "flushing"
+	StateExited   = "exited"
+
+	CauseDone    = "done"
+	CauseStopped = "stopped"
+	CauseError   = "error"
+	CauseFull    = "full"
+	CauseBusy    = "busy"
+	CauseUnknown = "unknown"
+
+	CmdRun  = "run"
+	CmdKill = "kill"
+	CmdReap = "reap"
+)
+
+// Job states as users see them.
+const (
+	JobPending   = "pending"
+	JobRunning   = "running"
+	JobDone      = "done"
+	JobCancelled = "cancelled"
+)
+
+// JobStatus answers submissions, polls and cancellations.
+type JobStatus struct {
+	ID      string `msgpack:"id"`
+	Status  string `msgpack:"status"`
+	Done    int    `msgpack:"done"`
+	Running int    `msgpack:"running"`
+}
+
+// Accepted answers a submission or a cancellation.
+type Accepted struct {
+	ID     string `msgpack:"id"`
+	Status string `msgpack:"status"`
+}
+
+// ErrorBody says what is wrong with a request.
+type ErrorBody struct {
+	Error string `msgpack:"error"`
+}
+
+// TaskReport is one task in a worker's report.
+type TaskReport struct {
+	Task    string `msgpack:"pip"`
+	Attempt uint64 `msgpack:"try_no"`
+	State   string `msgpack:"status"`
+	Cause   string `msgpack:"cause,omitempty"`
+	Saved   bool   `msgpack:"kept,omitempty"`
+}
+
+// Report is a worker's report.
+type Report struct {
+	Machine  string       `msgpack:"tree"`
+	Endpoint string       `msgpack:"endpoint"`
+	Type     string       `msgpack:"breed"`
+	Zone     string       `msgpack:"grove"`
+	Spot     bool         `msgpack:"borrowed"`
+	Session  uint64       `msgpack:"roost"`
+	Seq      uint64       `msgpack:"chirp"`
+	Token    uint64       `msgpack:"baton"`
+	NoticeS  *float64     `msgpack:"warning_s"`
+	Tasks    []TaskReport `msgpack:"pips"`
+}
+
+// Valid tells whether a report can be acted upon.
+func (r *Report) Valid() bool {
+	if !ValidKeyPart(r.Machine) || r.Endpoint == "" || len(r.Endpoint) > 64 || r.Type == "" || len(r.Type) > 100 ||
+		r.Zone == "" || len(r.Zone) > 100 || r.Session == 0 {
+		return false
+	}
+	for i := range r.Tasks {
+		if r.Tasks[i].Task == "" || r.Tasks[i].State == "" {
+			return false
+		}
+	}
+	return true
+}
+
+// Command is an order to a worker.
+type Command struct {
+	Op      string   `msgpack:"call"`
+	Task    string   `msgpack:"pip"`
+	Attempt uint64   `msgpack:"try_no"`
+	GraceS  *float64 `msgpack:"leeway_s,omitempty"`
+}
+
+// CheckinReply answers a report.
+type CheckinReply struct {
+	Token    uint64    `msgpack:"baton"`
+	Commands []Command `msgpack:"calls"`
+}
+
+// Redirect goes with 421.
+type Redirect struct {
+	Lead string `msgpack:"flock_lead,omitempty"`
+}
+
+// DoRequest is a direct command batch.
+type DoRequest struct {
+	Token    uint64    `msgpack:"baton"`
+	Session  uint64    `msgpack:"roost"`
+	Commands []Command `msgpack:"calls"`
+}
+
+// MachineType is an entry of the cloud's catalogue.
+type MachineType struct {
+	Name        string   `msgpack:"name"`
+	CPUs        float64  `msgpack:"cores"`
+	GPUs        float64  `msgpack:"accelerators"`
+	MemoryGB    float64  `msgpack:"memory_gb"`
+	CacheGB     float64  `msgpack:"local_gb"`
+	FetchGBPerS float64  `msgpack:"pull_gb_per_s"`
+	Price       float64  `msgpack:"rate"`
+	SpotPrice   float64  `msgpack:"low_price"`
+	BootS       float64  `msgpack:"ready_s"`
+	Zones       []string `msgpack:"groves"`
+}
+
+// Catalog is the list of machine types.
+type Catalog struct {
+	Types []MachineType `msgpack:"breeds"`
+}
+
+// RentRequest asks for machines.
+type RentRequest struct {
+	Name  string `msgpack:"ask"`
+	Type  string `msgpack:"breed"`
+	Zone  string `msgpack:"grove"`
+	Spot  bool   `msgpack:"borrowed"`
+	Count int    `msgpack:"number"`
+}
+
+// RentReply names the machines rented.
+type RentReply struct {
+	Machines []string `msgpack:"trees"`
+}
+
+// DeleteRequest gives machines back.
+type DeleteRequest struct {
+	Machines []string `msgpack:"trees"`
+}
+
+// Listed is a machine in the cloud's list.
+type Listed struct {
+	ID       string  `msgpack:"id"`
+	Endpoint string  `msgpack:"endpoint"`
+	Type     string  `msgpack:"breed"`
+	Zone     string  `msgpack:"grove"`
+	Spot     bool    `msgpack:"borrowed"`
+	State    string  `msgpack:"status"`
+	AgeS     float64 `msgpack:"held_s"`
+}
+
+// MachineList is a page of the cloud's list.
+type MachineList struct {
+	Machines []Listed `msgpack:"trees"`
+	More     bool     `msgpack:"has_next"`
+}
+
+// Item is a key of the state service.
+type Item struct {
+	Key     string `msgpack:"path"`
+	Value   Raw    `msgpack:"value"`
+	Version uint64 `msgpack:"stamp"`
+	Lease   uint64 `msgpack:"tenure"`
+}
+
+// ItemList is a page of keys.
+type ItemList struct {
+	Items    []Item `msgpack:"pairs"`
+	More     bool   `msgpack:"has_next"`
+	Revision uint64 `msgpack:"epoch"`
+}
+
+// Cond is a condition of a transaction; version 0: the key does not exist.
+type Cond struct {
+	Key     string `msgpack:"path"`
+	Version uint64 `msgpack:"stamp"`
+}
+
+// Op is a put (Put set) or a delete.
+type Op struct {
+	Put    string `msgpack:"write,omitempty"`
+	Value  Raw    `msgpack:"value,omitempty"`
+	Lease  uint64 `msgpack:"tenure,omitempty"`
+	Delete string `msgpack:"drop,omitempty"`
+}
+
+// Txn is a transaction.
+type Txn struct {
+	If   []Cond `msgpack:"if"`
+	Then []Op   `msgpack:"apply,omitempty"`
+}
+
+// TxnReply answers a transaction.
+type TxnReply struct {
+	Revision uint64   `msgpack:"epoch"`
+	Failed   []string `msgpack:"failed"`
+}
+
+// LeaseRequest opens a lease.
+type LeaseRequest struct {
+	TTLMillis int64 `msgpack:"ttl_ms"`
+}
+
+// LeaseReply names it.
+type LeaseReply struct {
+	Lease uint64 `msgpack:"tenure"`
+}
+
+// Event is a change seen by a watch.
+type Event struct {
+	Put     string `msgpack:"write"`
+	Value   Raw    `msgpack:"value"`
+	Version uint64 `msgpack:"stamp"`
+	Delete  string `msgpack:"drop"`
+}
+
+// WatchReply answers a watch.
+type WatchReply struct {
+	Revision uint64  `msgpack:"epoch"`
+	Events   []Event `msgpack:"log"`
+}
