--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -72,6 +72,7 @@
 	ready      bool   // the mirror is complete
 	loadedUpTo uint64 // the watch must reach this before the mirror is complete
 	loading    bool
+	loaded     bool // a first load is done, the watch may go on from it
 	watchGap   micros.T
 	watchAt    micros.T
 	watching   bool
@@ -344,6 +345,7 @@
 	view := newView(func(string, string) {})
 	view.finals = c.view.finals
 	var first, last uint64
+	begun := false
 	var page func(k int, after string)
 	page = func(k int, after string) {
 		if k == len(kinds) {
@@ -357,8 +359,8 @@
 				c.env.After(wait, func() { page(k, after) })
 				return
 			}
-			if first == 0 {
-				first = r.Revision
+			if !begun { // the revision of an empty store is 0
+				begun, first = true, r.Revision
 			}
 			last = max(last, r.Revision)
 			for _, it := range r.Items {
@@ -383,7 +385,7 @@
 	}
 	view.watched, view.touched = first, c.touched
 	c.view = view
-	c.loading, c.loadedUpTo = false, last
+	c.loading, c.loaded, c.loadedUpTo = false, true, last
 	for _, id := range sortedKeys(view.machines) {
 		c.ownership(view.machines[id])
 	}
@@ -401,7 +403,7 @@
 }
 
 func (c *Core) keepWatch(now micros.T) {
-	if c.watching || c.loading || now < c.watchAt || c.view.watched == 0 && c.loadedUpTo == 0 {
+	if c.watching || c.loading || now < c.watchAt || !c.loaded {
 		return
 	}
 	c.watching = true
