--- a/internal/bookkeeping/queue.go
+++ b/internal/bookkeeping/queue.go
@@ -31,7 +31,12 @@
 }
 
 // Take uses n tokens; the bucket may go into debt.
-func (b *Bucket) Take(n float64) { b.have -= n }
+func (b *Bucket) Take(n float64) {
+	if !b.begun {
+		b.begun, b.have = true, b.Burst
+	}
+	b.have -= n
+}
 
 // Drain empties the bucket after the other side has said that it is too much.
 func (b *Bucket) Drain() { b.have = min(b.have, 0) }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -236,6 +236,10 @@
 	if err != nil {
 		return s, fmt.Errorf("operator settings: %w", err)
 	}
+	var keys map[string]any
+	if err := yaml.Unmarshal(b, &keys); err == nil && len(keys) == 0 {
+		return s, nil // nothing but comments
+	}
 	dec := yaml.NewDecoder(bytes.NewReader(b), yaml.Strict())
 	if err := dec.Decode(&s); err != nil && !errors.Is(err, io.EOF) {
 		return s, fmt.Errorf("operator settings %s: %w", path, err)
--- /dev/null
+++ b/internal/coordination/cluster_test.go
@@ -0,0 +1,291 @@
+package coordination
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"testing"
+
+	"pipitgap/internal/config"
+	"pipitgap/internal/micros"
+	"pipitgap/internal/protocol"
+	"pipitgap/internal/standin"
+)
+
+const sec = micros.Second
+
+// cluster is three controllers on stand-ins, under one simulated clock.
+type cluster struct {
+	t      *testing.T
+	sim    *standin.Sim
+	store  *standin.Store
+	cloud  *standin.Cloud
+	fleet  *standin.Fleet
+	names  []string
+	nodes  map[string]*simNode
+	set    config.Settings
+	teams  []config.Team
+	cut    map[string]bool // "machine-node" or "node-node" pairs that can't talk
+	lateDo func(w *standin.Worker, req *protocol.DoRequest) micros.T
+	next   int
+}
+
+// simNode is one controller; its env drops whatever belongs to an earlier life.
+type simNode struct {
+	c    *cluster
+	name string
+	core *Core
+	life int
+}
+
+type simEnv struct {
+	n    *simNode
+	life int
+	rnd  *rand.Rand
+}
+
+func (e *simEnv) alive() bool { return e.n.life == e.life && e.n.core != nil }
+
+func (e *simEnv) guard(f func()) func() {
+	return func() {
+		if e.alive() {
+			f()
+		}
+	}
+}
+
+func (e *simEnv) Now() micros.T              { return e.n.c.sim.Now() }
+func (e *simEnv) Wall() int64                { return int64(e.n.c.sim.Now()) + 1_000_000_000_000 }
+func (e *simEnv) Rand() *rand.Rand           { return e.rnd }
+func (e *simEnv) After(d micros.T, f func()) { e.n.c.sim.After(d, e.guard(f)) }
+func (e *simEnv) Store(c *protocol.StoreCall, back func(protocol.StoreResult)) {
+	e.n.c.store.Call(e.n.name, c, func(r protocol.StoreResult) { e.guard(func() { back(r) })() })
+}
+
+func (e *simEnv) Cloud(c *protocol.CloudCall, back func(protocol.CloudResult)) {
+	e.n.c.cloud.Call(c, func(r protocol.CloudResult) { e.guard(func() { back(r) })() })
+}
+
+func (e *simEnv) Command(endpoint string, req *protocol.DoRequest, within micros.T, back func(protocol.DoResult)) {
+	c := e.n.c
+	answered := false
+	answer := func(r protocol.DoResult) {
+		if !answered {
+			answered = true
+			e.guard(func() { back(r) })()
+		}
+	}
+	c.sim.After(within, func() { answer(protocol.DoResult{}) })
+	for _, id := range sortedKeys(c.fleet.Workers) {
+		w := c.fleet.Workers[id]
+		if w.Machine.Endpoint != endpoint || w.Machine.Gone {
+			continue
+		}
+		delay := 2 * micros.Millisecond
+		if c.lateDo != nil {
+			delay += c.lateDo(w, req)
+		}
+		c.sim.After(delay, func() {
+			if w.Machine.Gone || w.Silent || w.Hanging || c.cut[id+"-"+e.n.name] {
+				return
+			}
+			r := w.Do(req)
+			c.sim.After(2*micros.Millisecond, func() { answer(r) })
+		})
+	}
+}
+
+func (e *simEnv) Peer(node string, h Hint) {
+	c := e.n.c
+	if c.cut[e.n.name+"-"+node] || c.cut[node+"-"+e.n.name] {
+		return
+	}
+	c.sim.After(2*micros.Millisecond, func() {
+		if n := c.nodes[node]; n.core != nil {
+			n.core.OnHint(h)
+		}
+	})
+}
+
+var testTypes = []protocol.MachineType{
+	{Name: "m8", CPUs: 8, MemoryGB: 64, Price: 1, SpotPrice: 0.4, Zones: []string{"a", "b"}, BootS: 10},
+	{Name: "m16", CPUs: 16, MemoryGB: 128, Price: 2.2, SpotPrice: 0.9, Zones: []string{"a", "b"}, BootS: 10},
+}
+
+func newCluster(t *testing.T, seed uint64) *cluster {
+	sim := standin.NewSim(seed)
+	c := &cluster{t: t, sim: sim, names: []string{"n-0", "n-1", "n-2"}, nodes: map[string]*simNode{},
+		set: config.Defaults(), cut: map[string]bool{},
+		teams: []config.Team{{Name: "free"}, {Name: "tight", CPUs: 8, CPUsMax: 12}}}
+	c.store = standin.NewStore(sim, 200, 50, 12)
+	c.cloud = standin.NewCloud(sim, testTypes)
+	for _, typ := range testTypes {
+		for _, z := range typ.Zones {
+			c.cloud.Capacity[standin.Offer(typ.Name, z, false)] = 6
+			c.cloud.Capacity[standin.Offer(typ.Name, z, true)] = 3
+		}
+	}
+	c.fleet = standin.NewFleet(sim, 2*sec, 12*sec, c.names)
+	c.fleet.Limits["tight"] = 12
+	c.cloud.OnUp = func(m *standin.Rented) {
+		for _, typ := range testTypes {
+			if typ.Name == m.Type {
+				c.fleet.Up(m, typ.CPUs)
+			}
+		}
+	}
+	c.cloud.OnGone = c.fleet.Down
+	c.fleet.Send = func(w *standin.Worker, node string, body []byte, back func(int, []byte)) {
+		if c.cut[w.Machine.ID+"-"+node] {
+			return
+		}
+		c.sim.After(2*micros.Millisecond, func() {
+			c.request(node, "POST", "/checkin", body, func(r Reply) {
+				c.sim.After(2*micros.Millisecond, func() { back(r.Status, r.Body) })
+			})
+		})
+	}
+	for _, n := range c.names {
+		c.nodes[n] = &simNode{c: c, name: n}
+	}
+	return c
+}
+
+func (c *cluster) config(node string) *config.Config {
+	cfg := &config.Config{Node: node, Area: "a", PublicAddr: "127.0.0.1:1", PeerBind: "127.0.0.1:2"}
+	for _, n := range c.names {
+		if n != node {
+			cfg.Known = append(cfg.Known, config.Peer{Node: n, Area: "b", Addr: "127.0.0.1:3"})
+		}
+	}
+	f := &cfg.Facts
+	f.Zones, f.Teams = []string{"a", "b"}, c.teams
+	f.Workers.ReportS, f.Workers.LeaseS, f.Workers.CancelS = 2, 12, 32
+	f.State.RPS, f.State.WriteRPS, f.State.ValueKB, f.State.TxnOps = 200, 50, 4, 12
+	f.Cloud.RPS, f.Cloud.ListLagS = 6, 3
+	f.Quota.Cores, f.Quota.MemoryMB, f.Quota.MaxConnections = 0.3, 100, 500
+	return cfg
+}
+
+func (c *cluster) start(nodes ...string) {
+	for _, name := range nodes {
+		n := c.nodes[name]
+		n.life++
+		env := &simEnv{n: n, life: n.life, rnd: rand.New(rand.NewPCG(uint64(n.life), c.sim.Rand.Uint64()))}
+		var out io.Writer = io.Discard
+		if os.Getenv("PIPITGAP_TEST_LOG") != "" {
+			out = os.Stderr
+		}
+		log := slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: slog.LevelDebug})).With("node", name)
+		n.core = NewCore(c.config(name), c.set, env, log)
+		n.core.Start()
+	}
+}
+
+func (c *cluster) kill(nodes ...string) {
+	for _, n := range nodes {
+		c.nodes[n].core = nil
+	}
+}
+
+// request reaches a node like a new connection; a dead one says nothing.
+func (c *cluster) request(node, method, target string, body []byte, back func(Reply)) {
+	n := c.nodes[node]
+	if n.core == nil {
+		return
+	}
+	life := n.life
+	n.core.OnRequest(method, target, body, func(r Reply) {
+		if n.life == life && n.core != nil {
+			back(r)
+		}
+	})
+}
+
+// ask sends a request and waits up to five seconds for its answer.
+func (c *cluster) ask(node, method, target string, body []byte) Reply {
+	var rep Reply
+	c.request(node, method, target, body, func(r Reply) { rep = r })
+	c.sim.RunUntil(5*sec, func() bool { return rep.Status != 0 })
+	return rep
+}
+
+// job is a submission in the users' form.
+type jobOf map[string]any
+
+func (c *cluster) spec(more jobOf) (string, jobOf) {
+	c.next++
+	id := fmt.Sprintf("j-%06d", c.next)
+	j := jobOf{"id": id, "lane": "batch", "crew": "free", "shape": "sweep", "rank": "standard", "pips": 1,
+		"cores": 2.0, "accelerators": 0.0, "memory_gb": 4.0, "plumage": "img", "pull_gb": 0.5, "breeds": nil,
+		"grove": nil, "one_zone": false, "apart": false, "borrowed": false, "guess_s": 5.0, "perch_s": 0.0,
+		"stash_s": 0.0, "due_s": nil}
+	for k, v := range more {
+		j[k] = v
+	}
+	return id, j
+}
+
+// submit has a job accepted, retrying like a user.
+func (c *cluster) submit(run micros.T, more jobOf) string {
+	c.t.Helper()
+	id, j := c.spec(more)
+	c.fleet.Jobs[id] = standin.JobInfo{Team: j["crew"].(string), CPUs: j["cores"].(float64), Run: run}
+	body := protocol.MustMarshal(j)
+	for i := 0; i < 30; i++ {
+		r := c.ask(c.names[i%3], "POST", "/v2/runs", body)
+		if r.Status == 201 || r.Status == 200 {
+			return id
+		}
+		c.sim.Run(sec)
+	}
+	c.t.Fatalf("job %s was not accepted", id)
+	return id
+}
+
+func (c *cluster) status(node, id string) (int, protocol.JobStatus) {
+	r := c.ask(node, "GET", "/v2/runs/"+id, nil)
+	var st protocol.JobStatus
+	_ = protocol.Unmarshal(r.Body, &st)
+	return r.Status, st
+}
+
+// finished waits until a job is told done, and checks that it is.
+func (c *cluster) finished(id string, within micros.T) {
+	c.t.Helper()
+	i := 0
+	ok := c.sim.RunUntil(within, func() bool {
+		i++
+		code, st := c.status(c.names[i%3], id)
+		return code == 200 && st.Status == protocol.JobDone
+	})
+	if !ok {
+		_, st := c.status(c.names[0], id)
+		c.t.Fatalf("job %s is not done after %v s: %+v", id, within.Seconds(), st)
+	}
+}
+
+func (c *cluster) rules() {
+	c.t.Helper()
+	for _, b := range c.fleet.Broken {
+		c.t.Error(b)
+	}
+}
+
+// steady starts all controllers and waits for a leader.
+func (c *cluster) steady() *cluster {
+	c.start(c.names...)
+	c.sim.Run(3 * sec)
+	return c
+}
+
+func (c *cluster) leader() *simNode {
+	for _, n := range c.names {
+		if core := c.nodes[n].core; core != nil && core.leading(c.sim.Now()) {
+			return c.nodes[n]
+		}
+	}
+	return nil
+}
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -582,7 +582,7 @@
 		n := min(spec.Tasks-j.done-j.held, j.need.count(left))
 		teamLeft[spec.Team] = left.plus(j.need, -float64(n))
 		if n > 0 {
-			ds = append(ds, &demand{spec: spec, need: j.need, count: n, job: j.id, index: i})
+			ds = append(ds, &demand{spec: spec, need: j.need, count: n, job: j.id, index: i, zones: newZoneRule(c.view, j)})
 		}
 	}
 	for _, id := range sortedKeys(c.view.machines) {
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -240,7 +240,7 @@
 				b.uses[cd.m] = b.uses[cd.m].plus(j.need, 1)
 				b.cond(bookkeeping.Key(bookkeeping.KindMachine, cd.m.id), cd.m.version)
 				cd.m.w.images[spec.Image] = now
-				zones.add(cd.m.rec.Zone)
+				zones.add(cd.m.rec.Zone, 1)
 				task.State, task.Machine = bookkeeping.TaskAssigned, cd.m.id
 				task.Attempt++
 				placed++
@@ -417,16 +417,22 @@
 	return z
 }
 
-func (z *zoneRule) ok(zone string) bool {
+func (z *zoneRule) ok(zone string) bool { return z.room(zone) > 0 }
+
+// room counts the tasks that the rule lets a zone take.
+func (z *zoneRule) room(zone string) int {
 	if z.oneZone && len(z.in) > 0 && z.in[zone] == 0 {
-		return false
+		return 0
+	}
+	if z.spread {
+		return max(0, z.most-z.in[zone])
 	}
-	return !z.spread || z.in[zone] < z.most
+	return protocol.MaxTasks
 }
 
-func (z *zoneRule) add(zone string) {
-	if z.oneZone || z.spread {
-		z.in[zone]++
+func (z *zoneRule) add(zone string, n int) {
+	if n > 0 && (z.oneZone || z.spread) {
+		z.in[zone] += n
 	}
 }
 
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -27,6 +27,7 @@
 	count int
 	job   string
 	index int // place in the order of urgency
+	zones *zoneRule
 }
 
 // bin is a machine with room, there already or requested.
@@ -40,6 +41,23 @@
 	return allowed(d.spec, typ, zone) && (d.spec.Spot || !spot)
 }
 
+// fitting counts the demand's tasks that free room in a zone can take.
+func (d *demand) fitting(free amount, zone string) int {
+	n := min(d.count, d.need.count(free))
+	if d.zones != nil {
+		n = min(n, d.zones.room(zone))
+	}
+	return n
+}
+
+// take has n tasks placed in a zone, which binds the others of a one-zone job.
+func (d *demand) take(n int, zone string) {
+	d.count -= n
+	if d.zones != nil {
+		d.zones.add(zone, n)
+	}
+}
+
 // largestFirst sorts demands by the design's rule.
 func largestFirst(ds []*demand) {
 	sort.SliceStable(ds, func(a, b int) bool {
@@ -72,9 +90,9 @@
 				if b.spot != spot || !d.mayUse(b.typ, b.zone, b.spot) {
 					continue
 				}
-				n := min(d.count, d.need.count(b.free))
+				n := d.fitting(b.free, b.zone)
 				b.free = b.free.plus(d.need, -float64(n))
-				d.count -= n
+				d.take(n, b.zone)
 			}
 		}
 	}
@@ -88,7 +106,7 @@
 		if d.count == 0 || !d.mayUse(o.typ, o.zone, o.spot) {
 			continue
 		}
-		n := min(d.count, d.need.count(free))
+		n := d.fitting(free, o.zone)
 		free = free.plus(d.need, -float64(n))
 		take[i] = n
 		cpus += float64(n) * d.need.cpus
@@ -119,7 +137,7 @@
 			break
 		}
 		for i, k := range bestTake {
-			ds[i].count -= k
+			ds[i].take(k, best.zone)
 		}
 		out[best.offer]++
 		for _, o := range offers {
--- /dev/null
+++ b/internal/protocol/protocol_test.go
@@ -0,0 +1,110 @@
+package protocol
+
+import (
+	"math"
+	"strings"
+	"testing"
+)
+
+func valid() map[string]any {
+	return map[string]any{
+		"id": "j-000412", "lane": "train", "crew": "vision", "shape": "sweep", "rank": "high", "pips": 16,
+		"cores": 8.0, "accelerators": 1, "memory_gb": 64.0, "plumage": "img-07", "pull_gb": 6.2,
+		"breeds": []any{"g8"}, "grove": nil, "one_zone": true, "apart": false, "borrowed": true,
+		"guess_s": 240.0, "perch_s": 30.0, "stash_s": 4.0, "due_s": 900.0, "new_field": []any{1, "x"},
+	}
+}
+
+func TestSubmission(t *testing.T) {
+	cases := []struct {
+		name string
+		set  map[string]any
+		ok   bool
+	}{
+		{"as documented", nil, true},
+		{"nulls", map[string]any{"breeds": nil, "due_s": nil, "grove": nil}, true},
+		{"whole amounts", map[string]any{"cores": 8, "guess_s": 0}, true},
+		{"most tasks", map[string]any{"pips": 100000}, true},
+		{"too many tasks", map[string]any{"pips": 100001}, false},
+		{"no tasks", map[string]any{"pips": 0}, false},
+		{"negative tasks", map[string]any{"pips": -1}, false},
+		{"tasks beyond 64 bits", map[string]any{"pips": uint64(math.MaxUint64)}, false},
+		{"tasks as an amount", map[string]any{"pips": 16.0}, false},
+		{"not a number", map[string]any{"cores": math.NaN()}, false},
+		{"infinite", map[string]any{"memory_gb": math.Inf(1)}, false},
+		{"negative", map[string]any{"pull_gb": -0.5}, false},
+		{"text for an amount", map[string]any{"cores": "8"}, false},
+		{"null for an amount", map[string]any{"cores": nil}, false},
+		{"number for a flag", map[string]any{"apart": 0}, false},
+		{"unknown shape", map[string]any{"shape": "gang"}, false},
+		{"unknown rank", map[string]any{"rank": "low"}, false},
+		{"id of another form", map[string]any{"id": "000412"}, false},
+		{"id with a slash", map[string]any{"id": "j-1/2"}, false},
+		{"endless id", map[string]any{"id": "j-" + strings.Repeat("0", 200)}, false},
+		{"types not a list", map[string]any{"breeds": "g8"}, false},
+		{"types not names", map[string]any{"breeds": []any{8}}, false},
+	}
+	for _, tc := range cases {
+		m := valid()
+		for k, v := range tc.set {
+			m[k] = v
+		}
+		s, err := ParseSubmission(MustMarshal(m))
+		if (err == nil) != tc.ok {
+			t.Errorf("%s: %v", tc.name, err)
+		}
+		if tc.ok && (s.ID != "j-000412" || s.Priority != High || s.Service) {
+			t.Errorf("%s: %+v", tc.name, s)
+		}
+	}
+	for k := range valid() {
+		m := valid()
+		delete(m, k)
+		may := map[string]bool{"breeds": true, "grove": true, "due_s": true, "new_field": true}[k]
+		if _, err := ParseSubmission(MustMarshal(m)); (err == nil) != may {
+			t.Errorf("without %s: %v", k, err)
+		}
+	}
+}
+
+func TestCheck(t *testing.T) {
+	cases := []struct {
+		name string
+		in   []byte
+		ok   bool
+	}{
+		{"nothing", nil, false},
+		{"map", MustMarshal(valid()), true},
+		{"two values", []byte{0xc0, 0xc0}, false},
+		{"list that claims four thousand million", []byte{0xdd, 0xff, 0xff, 0xff, 0xff}, false},
+		{"map that claims too much", []byte{0xdf, 0x7f, 0xff, 0xff, 0xff, 0xc0}, false},
+		{"text cut off", []byte{0xa5, 'a'}, false},
+		{"nested too deep", []byte(strings.Repeat("\x91", 64) + "\xc0"), false},
+		{"binary data", []byte{0xc4, 1, 0}, false},
+		{"extension", []byte{0xd4, 0, 0}, false},
+		{"number cut off", []byte{0xcb, 0, 0}, false},
+	}
+	for _, tc := range cases {
+		if err := Check(tc.in); (err == nil) != tc.ok {
+			t.Errorf("%s: %v", tc.name, err)
+		}
+	}
+}
+
+// FuzzSubmission: whatever comes, the decoder answers without a crash, and what
+// it accepts is within the protocol's bounds.
+func FuzzSubmission(f *testing.F) {
+	f.Add(MustMarshal(valid()))
+	f.Add([]byte{0x81, 0xa2, 'i', 'd', 0x01})
+	f.Add([]byte{0x81, 0xc0, 0xc0})
+	f.Fuzz(func(t *testing.T, in []byte) {
+		s, err := ParseSubmission(in)
+		if err == nil && (s.Tasks < 1 || s.Tasks > MaxTasks || s.CPUs < 0 || math.IsNaN(s.CPUs) || !ValidJobID(s.ID)) {
+			t.Fatalf("accepted %+v", s)
+		}
+		var r Report
+		if Unmarshal(in, &r) == nil && r.Valid() && r.Machine == "" {
+			t.Fatal("a report without a machine")
+		}
+	})
+}
--- /dev/null
+++ b/internal/standin/worker.go
@@ -0,0 +1,352 @@
+package standin
+
+import (
+	"fmt"
+	"sort"
+
+	"pipitgap/internal/micros"
+	"pipitgap/internal/protocol"
+)
+
+// JobInfo is what a worker fetches about a job on its own.
+type JobInfo struct {
+	Team    string
+	CPUs    float64
+	Run     micros.T // 0: runs until it is stopped
+	Fails   bool
+	Service bool
+}
+
+// Fleet is all workers, and the judge of the rules.
+type Fleet struct {
+	Sim     *Sim
+	Report  micros.T
+	Lease   micros.T
+	Nodes   []string
+	Jobs    map[string]JobInfo
+	Workers map[string]*Worker
+	// Send carries a report to a node; back gets status 0 for no response.
+	Send func(w *Worker, node string, body []byte, back func(status int, reply []byte))
+
+	where    map[string]string // task -> machine it is on
+	Limits   map[string]float64
+	use      map[string]float64
+	Broken   []string
+	Starts   map[string]int
+	Finished map[string]bool
+	Gone     map[string]micros.T // jobs whose tasks must be gone by then
+}
+
+// Worker is one machine's worker.
+type Worker struct {
+	fleet    *Fleet
+	Machine  *Rented
+	CPUs     float64
+	Session  uint64
+	Seq      uint64
+	Token    uint64
+	Tasks    map[string]*Held
+	node     int
+	renewed  micros.T
+	Sick     bool // every task fails
+	Silent   bool // cut from everything, goes on working
+	Hanging  bool
+	dead     bool
+	inFlight bool
+	soon     bool
+}
+
+// Held is an attempt on a worker.
+type Held struct {
+	Attempt uint64
+	State   string
+	Cause   string
+	gen     int
+}
+
+// NewFleet starts without workers.
+func NewFleet(sim *Sim, report, lease micros.T, nodes []string) *Fleet {
+	return &Fleet{Sim: sim, Report: report, Lease: lease, Nodes: nodes, Jobs: map[string]JobInfo{},
+		Workers: map[string]*Worker{}, where: map[string]string{}, Limits: map[string]float64{},
+		use: map[string]float64{}, Starts: map[string]int{}, Finished: map[string]bool{}, Gone: map[string]micros.T{}}
+}
+
+// Up starts a machine's worker.
+func (f *Fleet) Up(m *Rented, cpus float64) *Worker {
+	w := &Worker{fleet: f, Machine: m, CPUs: cpus, Session: 1, Tasks: map[string]*Held{},
+		renewed: f.Sim.Now(), node: f.Sim.Rand.IntN(len(f.Nodes))}
+	f.Workers[m.ID] = w
+	w.loop()
+	w.watchLease()
+	return w
+}
+
+// Down ends a machine with all that is on it.
+func (f *Fleet) Down(m *Rented) {
+	if w := f.Workers[m.ID]; w != nil {
+		w.dead = true
+		w.clear()
+	}
+}
+
+func (f *Fleet) broke(format string, args ...any) {
+	f.Broken = append(f.Broken, fmt.Sprintf("%.3f: ", f.Sim.Now().Seconds())+fmt.Sprintf(format, args...))
+}
+
+func jobOf(task string) string {
+	for i := range task {
+		if task[i] == '/' {
+			return task[:i]
+		}
+	}
+	return task
+}
+
+func (w *Worker) begin(task string) {
+	f := w.fleet
+	if at, ok := f.where[task]; ok {
+		f.broke("ran_twice: %s starts on %s while on %s", task, w.Machine.ID, at)
+	}
+	f.where[task] = w.Machine.ID
+	f.Starts[task]++
+	j := f.Jobs[jobOf(task)]
+	f.use[j.Team] += j.CPUs
+	if l := f.Limits[j.Team]; l > 0 && f.use[j.Team] > l+1e-6 {
+		f.broke("quota: team %s uses %v", j.Team, f.use[j.Team])
+	}
+	if by, ok := f.Gone[jobOf(task)]; ok && f.Sim.Now() > by {
+		f.broke("ran_cancelled: %s starts", task)
+	}
+}
+
+func (w *Worker) end(task string) {
+	f := w.fleet
+	if f.where[task] == w.Machine.ID {
+		delete(f.where, task)
+		j := f.Jobs[jobOf(task)]
+		f.use[j.Team] -= j.CPUs
+		if by, ok := f.Gone[jobOf(task)]; ok && f.Sim.Now() > by {
+			f.broke("ran_cancelled: %s was still there", task)
+		}
+	}
+}
+
+func (w *Worker) clear() {
+	for _, t := range w.names() {
+		if h := w.Tasks[t]; h.State == protocol.StateRunning {
+			w.end(t)
+		}
+		w.Tasks[t].gen++
+	}
+	w.Tasks = map[string]*Held{}
+}
+
+func (w *Worker) names() []string {
+	var out []string
+	for t := range w.Tasks {
+		out = append(out, t)
+	}
+	sort.Strings(out)
+	return out
+}
+
+func (w *Worker) watchLease() {
+	if w.dead {
+		return
+	}
+	if w.fleet.Sim.Now()-w.renewed > w.fleet.Lease {
+		w.clear()
+		w.Session++
+		w.Seq = 0
+		w.renewed = w.fleet.Sim.Now()
+	}
+	w.fleet.Sim.After(100*micros.Millisecond, w.watchLease)
+}
+
+// Body is the worker's report now.
+func (w *Worker) Body() *protocol.Report {
+	w.Seq++
+	r := &protocol.Report{Machine: w.Machine.ID, Endpoint: w.Machine.Endpoint, Type: w.Machine.Type,
+		Zone: w.Machine.Zone, Spot: w.Machine.Spot, Session: w.Session, Seq: w.Seq, Token: w.Token}
+	for _, t := range w.names() {
+		h := w.Tasks[t]
+		r.Tasks = append(r.Tasks, protocol.TaskReport{Task: t, Attempt: h.Attempt, State: h.State, Cause: h.Cause})
+	}
+	return r
+}
+
+func (w *Worker) loop() {
+	if w.dead {
+		return
+	}
+	f := w.fleet
+	next := f.Report + micros.T(f.Sim.Rand.Int64N(int64(f.Report/2))) - f.Report/4
+	if !w.inFlight && !w.Hanging {
+		w.report()
+	}
+	f.Sim.After(next, w.loop)
+}
+
+// change sends a report soon.
+func (w *Worker) change() {
+	if w.soon {
+		return
+	}
+	w.soon = true
+	w.fleet.Sim.After(500*micros.Millisecond, func() {
+		w.soon = false
+		if !w.dead && !w.inFlight && !w.Hanging {
+			w.report()
+		}
+	})
+}
+
+func (w *Worker) report() {
+	f := w.fleet
+	w.inFlight = true
+	sent, session := f.Sim.Now(), w.Session
+	done := false
+	finish := func(status int, reply []byte) {
+		if done || w.dead {
+			return
+		}
+		done = true
+		w.inFlight = false
+		switch status {
+		case 200:
+			var r protocol.CheckinReply
+			if protocol.Unmarshal(reply, &r) != nil || r.Token < w.Token || session != w.Session {
+				return
+			}
+			w.renewed = sent
+			w.seen(r.Token)
+			w.execute(r.Commands)
+		case 421:
+			var r protocol.Redirect
+			_ = protocol.Unmarshal(reply, &r)
+			for i, n := range f.Nodes {
+				if n == r.Lead && i != w.node {
+					w.node = i
+					f.Sim.After(200*micros.Millisecond, w.again)
+					return
+				}
+			}
+			fallthrough
+		default:
+			w.node = (w.node + 1) % len(f.Nodes)
+			f.Sim.After(micros.Second, w.again)
+		}
+	}
+	f.Sim.After(4*micros.Second, func() { finish(0, nil) })
+	if w.Silent {
+		return
+	}
+	body := protocol.MustMarshal(w.Body())
+	f.Send(w, f.Nodes[w.node], body, finish)
+}
+
+func (w *Worker) again() {
+	if !w.dead && !w.inFlight && !w.Hanging {
+		w.report()
+	}
+}
+
+func (w *Worker) seen(token uint64) {
+	if token > w.Token {
+		w.Token = token
+		w.change()
+	}
+}
+
+// Do executes a direct command batch.
+func (w *Worker) Do(req *protocol.DoRequest) protocol.DoResult {
+	if req.Token < w.Token || req.Session != w.Session {
+		return protocol.DoResult{Status: 409, Report: *w.Body()}
+	}
+	w.seen(req.Token)
+	w.execute(req.Commands)
+	return protocol.DoResult{Status: 200, Report: *w.Body()}
+}
+
+func (w *Worker) execute(cmds []protocol.Command) {
+	f := w.fleet
+	for _, c := range cmds {
+		h := w.Tasks[c.Task]
+		switch c.Op {
+		case protocol.CmdRun:
+			if h != nil && h.Attempt == c.Attempt {
+				continue
+			}
+			job, known := f.Jobs[jobOf(c.Task)]
+			n := &Held{Attempt: c.Attempt, State: protocol.StateRunning}
+			switch {
+			case h != nil:
+				// The protocol keeps both attempts; one refused is enough here.
+				continue
+			case !known:
+				n.State, n.Cause = protocol.StateExited, protocol.CauseUnknown
+			case w.used()+job.CPUs > w.CPUs+1e-6:
+				n.State, n.Cause = protocol.StateExited, protocol.CauseFull
+			}
+			w.Tasks[c.Task] = n
+			w.change()
+			if n.State != protocol.StateRunning {
+				continue
+			}
+			w.begin(c.Task)
+			gen, task := n.gen, c.Task
+			run := job.Run
+			if w.Sick || job.Fails {
+				run = 500 * micros.Millisecond
+			}
+			if run > 0 {
+				f.Sim.After(run, func() {
+					if w.dead || n.gen != gen || w.Tasks[task] != n || n.State != protocol.StateRunning {
+						return
+					}
+					n.State, n.Cause = protocol.StateExited, protocol.CauseDone
+					if w.Sick || job.Fails {
+						n.Cause = protocol.CauseError
+					} else {
+						f.Finished[task] = true
+					}
+					w.end(task)
+					w.change()
+				})
+			}
+		case protocol.CmdKill:
+			if h != nil && h.Attempt == c.Attempt && h.State == protocol.StateRunning {
+				h.gen++
+				h.State, h.Cause = protocol.StateExited, protocol.CauseStopped
+				w.end(c.Task)
+				w.change()
+			}
+		case protocol.CmdReap:
+			if h != nil && h.Attempt == c.Attempt && h.State == protocol.StateExited {
+				delete(w.Tasks, c.Task)
+				w.change()
+			}
+		}
+	}
+}
+
+func (w *Worker) used() float64 {
+	n := 0.0
+	for t, h := range w.Tasks {
+		if h.State != protocol.StateExited {
+			n += w.fleet.Jobs[jobOf(t)].CPUs
+		}
+	}
+	return n
+}
+
+// Running counts the tasks of a job that are on machines now.
+func (f *Fleet) Running(job string) int {
+	n := 0
+	for t := range f.where {
+		if jobOf(t) == job {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/transport/server_test.go
@@ -0,0 +1,127 @@
+package transport
+
+import (
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"pipitgap/internal/micros"
+)
+
+// TestServer drives the evio server over loopback: definite answers for what is
+// wrong, one answer for pipelined requests, a bound on connections.
+func TestServer(t *testing.T) {
+	free := func() string {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		return l.Addr().String()
+	}
+	public, peer := free(), free()
+	s := &Server{Now: micros.Steady(), MaxConns: 4, Idle: micros.Minute, Partial: 300 * micros.Millisecond,
+		OnHTTP: func(r *Request) { r.Answer(Reply{Status: 200, Body: []byte(r.Msg.Target)}) },
+		OnPeer: func([]byte) {}}
+	go func() { _ = s.Serve(public, peer) }()
+	dial := func() net.Conn {
+		for i := 0; ; i++ {
+			c, err := net.Dial("tcp4", public)
+			if err == nil {
+				_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+				return c
+			}
+			if i == 200 {
+				t.Fatal(err)
+			}
+			time.Sleep(10 * time.Millisecond) // until the listener is there
+		}
+	}
+	all := func(in string) string {
+		c := dial()
+		defer c.Close()
+		_, _ = io.WriteString(c, in)
+		b, _ := io.ReadAll(c)
+		return string(b)
+	}
+	cases := []struct{ name, in, want string }{
+		{"answered and closed", "GET /a HTTP/1.1\r\nConnection: close\r\n\r\n", "200 OK"},
+		{"malformed", "GET /a\r\n\r\n", "400 Bad"},
+		{"chunked", "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", "501 "},
+		{"half a request", "GET /a HT", ""},
+	}
+	for _, tc := range cases {
+		got := all(tc.in)
+		if tc.want == "" && got != "" || !strings.Contains(got, tc.want) {
+			t.Errorf("%s: %q", tc.name, got)
+		}
+	}
+	// Pipelining is no part of the protocol: the first is answered, then the end.
+	if got := all("GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n"); strings.Count(got, "HTTP/1.1 ") != 1 || !strings.HasSuffix(got, "/a") {
+		t.Errorf("pipelined: %q", got)
+	}
+	var held []net.Conn
+	for i := 0; i < 4; i++ {
+		c := dial()
+		defer c.Close()
+		if _, err := io.WriteString(c, "GET /k HTTP/1.1\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.Read(make([]byte, 512)); err != nil {
+			t.Fatal(err)
+		}
+		held = append(held, c)
+	}
+	if got := all("GET /a HTTP/1.1\r\n\r\n"); got != "" {
+		t.Errorf("over the bound: %q", got)
+	}
+	if _, err := io.WriteString(held[0], "GET /still HTTP/1.1\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	b := make([]byte, 512)
+	if n, _ := held[0].Read(b); !strings.Contains(string(b[:n]), "/still") {
+		t.Errorf("a kept connection is not served: %q", b[:n])
+	}
+}
+
+// TestClient: a response in pieces, a refused connection, a silent peer.
+func TestClient(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				b := make([]byte, 4096)
+				n, _ := c.Read(b)
+				if strings.HasPrefix(string(b[:n]), "GET /silent") {
+					_, _ = c.Read(b) // until the other side gives up
+					return
+				}
+				for _, x := range AppendResponse(nil, 200, 0, true, []byte("hello")) {
+					_, _ = c.Write([]byte{x})
+				}
+			}()
+		}
+	}()
+	cl := NewClient(l.Addr().String(), 1, 1024)
+	if m, err := cl.Do("GET", "/x", nil, 10*micros.Second); err != nil || string(m.Body) != "hello" {
+		t.Errorf("%+v %v", m, err)
+	}
+	if _, err := cl.Do("GET", "/silent", nil, 200*micros.Millisecond); err == nil {
+		t.Error("a silent peer has no answer")
+	}
+	gone := NewClient("127.0.0.1:1", 1, 1024)
+	if _, err := gone.Do("GET", "/", nil, micros.Second); err == nil {
+		t.Error("nobody listens there")
+	}
+}
