--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -187,7 +187,10 @@
 	BackoffPasses  int  `yaml:"backoff_passes"`   // passes without room before the first pause
 	RemovalTries   int  `yaml:"removal_tries"`    // quick deletions before a removal is flagged failed
 	RemovalPause   Span `yaml:"removal_pause"`    // pause between deletions of a flagged machine
-	MaxConnections int  `yaml:"max_connections"`  // lowers the platform's quota; 0: as the platform says
+	// ExpectedRoom is the part of a type's boot time within which room that
+	// running tasks will free counts as supply. The design counts none of it.
+	ExpectedRoom   float64 `yaml:"expected_room"`
+	MaxConnections int     `yaml:"max_connections"` // lowers the platform's quota; 0: as the platform says
 }
 
 // Span is a duration in a YAML file, written like 30s or 5m.
@@ -266,6 +269,9 @@
 	if s.BackoffPasses < 1 || s.RemovalTries < 1 {
 		return errors.New("backoff_passes, removal_tries: must be at least 1")
 	}
+	if !finite(s.ExpectedRoom) || s.ExpectedRoom < 0 || s.ExpectedRoom > 10 {
+		return errors.New("expected_room: must lie between 0 and 10")
+	}
 	if s.MaxConnections < 0 {
 		return errors.New("max_connections: must be 0 or more")
 	}
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -591,7 +591,9 @@
 		if !ok || m.version == 0 || m.rec.State != bookkeeping.MachineOpen && m.rec.State != bookkeeping.MachineClosing {
 			continue
 		}
-		bins = append(bins, &bin{m.rec.Type, m.rec.Zone, m.rec.Spot, capacity(&t).plus(m.used, -1)})
+		b := &bin{typ: m.rec.Type, zone: m.rec.Zone, spot: m.rec.Spot, size: capacity(&t), free: capacity(&t).plus(m.used, -1)}
+		b.work = c.expectedWork(m, &t)
+		bins = append(bins, b)
 	}
 	// Open requests are supply: the largest first of the design's order.
 	for _, name := range sortedKeys(c.view.asks) {
@@ -610,12 +612,32 @@
 			}
 		}
 		for ; n > 0; n-- {
-			bins = append(bins, &bin{a.rec.Type, a.rec.Zone, a.rec.Spot, capacity(&t)})
+			bins = append(bins, &bin{typ: a.rec.Type, zone: a.rec.Zone, spot: a.rec.Spot, size: capacity(&t), free: capacity(&t)})
 		}
 	}
 	return ds, bins
 }
 
+// expectedWork estimates the CPU seconds that a machine can give to waiting
+// tasks within the horizon: what its services hold is out, and its other tasks
+// are taken to be half through.
+func (c *Core) expectedWork(m *machine, t *protocol.MachineType) float64 {
+	horizon := c.set.ExpectedRoom * t.BootS
+	work := t.CPUs * horizon
+	for ref := range m.tasks {
+		j := c.view.jobs[ref.job]
+		if j == nil || j.version == 0 {
+			continue
+		}
+		if j.rec.Spec.Service {
+			work -= j.need.cpus * horizon
+		} else {
+			work -= j.need.cpus * min(horizon, j.rec.Spec.EstimateS/2)
+		}
+	}
+	return work
+}
+
 // offers lists what may be rented now.
 func (c *Core) offers() []*offerInfo {
 	unmet := c.unmet()
@@ -659,6 +681,7 @@
 	ds, bins := c.demands(now)
 	largestFirst(ds)
 	fill(ds, bins)
+	absorb(ds, bins)
 	l := &c.leader
 	wanted := ds[:0]
 	waiting := map[string]bool{}
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -34,7 +34,34 @@
 type bin struct {
 	typ, zone string
 	spot      bool
+	size      amount // the machine's
 	free      amount
+	work      float64 // CPU seconds that it can still do within the horizon
+}
+
+// absorb takes from the demands what running machines will have room for before
+// a new one could be up: renting for those tasks would bring machines that find
+// nothing to do. Services never end, so none of their tasks is absorbed.
+func absorb(ds []*demand, bins []*bin) {
+	byUrgency := append([]*demand(nil), ds...)
+	sort.SliceStable(byUrgency, func(a, b int) bool { return byUrgency[a].index < byUrgency[b].index })
+	for _, d := range byUrgency {
+		each := d.need.cpus * max(d.spec.EstimateS, 1)
+		if d.spec.Service || each <= 0 || d.zones != nil && (d.zones.oneZone || d.zones.spread) {
+			continue
+		}
+		for _, b := range bins {
+			if d.count == 0 {
+				break
+			}
+			if b.work < each || !d.mayUse(b.typ, b.zone, b.spot) || !d.need.fits(b.size) {
+				continue
+			}
+			n := min(d.count, int(b.work/each))
+			b.work -= float64(n) * each
+			d.count -= n
+		}
+	}
 }
 
 func (d *demand) mayUse(typ, zone string, spot bool) bool {
@@ -93,6 +120,7 @@
 				n := d.fitting(b.free, b.zone)
 				b.free = b.free.plus(d.need, -float64(n))
 				d.take(n, b.zone)
+				b.work -= float64(n) * d.need.cpus * d.spec.EstimateS
 			}
 		}
 	}
