Services: image locality, preemption of lower priorities

Cause: payout-api waited a boot time (40 s) whenever ordinary machines were full of arrays; logger-intake missed 3 s on image fetches.

--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -109,6 +109,7 @@
 	redirected map[string]micros.T // machines we sent elsewhere, and when
 	claiming   map[string]bool
 	stateBusy  map[string]bool // machines with a change of state in flight
+	preempting map[string]*preemption
 	slowAt     micros.T
 	cloudGate  bookkeeping.Bucket
 	stats      stats
@@ -126,7 +127,7 @@
 		peerOK: map[string]micros.T{}, peerSeen: map[string]micros.T{}, deadSince: map[string]micros.T{},
 		rows: map[string]*rowState{}, teamBusy: map[string]bool{}, jobState: map[string]*jobState{},
 		outcomes: map[string]map[int]outcome{}, redirected: map[string]micros.T{}, claiming: map[string]bool{},
-		stateBusy: map[string]bool{},
+		stateBusy: map[string]bool{}, preempting: map[string]*preemption{},
 	}
 	c.all = append(c.all, cfg.Node)
 	for _, p := range cfg.Known {
@@ -216,6 +217,7 @@
 	if kind == bookkeeping.KindOpen {
 		if j := c.view.jobs[name]; j == nil {
 			delete(c.jobState, name)
+			delete(c.preempting, name)
 			prefix := bookkeeping.Key(bookkeeping.KindRun, name+"/")
 			for k := range c.rows {
 				if len(k) > len(prefix) && k[:len(prefix)] == prefix {
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -239,7 +239,7 @@
 				left = left.plus(j.need, -1)
 				b.uses[cd.m] = b.uses[cd.m].plus(j.need, 1)
 				b.cond(bookkeeping.Key(bookkeeping.KindMachine, cd.m.id), cd.m.version)
-				cd.m.w.images[spec.Image] = now
+				cd.m.images[spec.Image] = true
 				zones.add(cd.m.rec.Zone, 1)
 				task.State, task.Machine = bookkeeping.TaskAssigned, cd.m.id
 				task.Attempt++
@@ -250,6 +250,11 @@
 			if roomless && now-rs.handedAt > handPause {
 				handTo = parts.best(j, c.node, pending-placed)
 			}
+			if roomless && handTo == "" && spec.Service {
+				if !c.preempt(j, pending-placed, zones, now) && now-rs.handedAt > handPause {
+					handTo = parts.mostVictims(j, c.node)
+				}
+			}
 			if placed == 0 && handTo == "" {
 				if roomless {
 					break // the job's other rows won't fit here either
@@ -364,8 +369,8 @@
 		if cd.closed {
 			score += 1e5
 		}
-		if _, has := cd.m.w.images[spec.Image]; !has {
-			score += 4 * spec.ImageGB
+		if !cd.m.images[spec.Image] {
+			score += imageWeight(spec)
 		}
 		if score < bestScore {
 			best, bestScore = cd, score
@@ -388,6 +393,16 @@
 	return best
 }
 
+// imageWeight weighs an image fetch against a tighter fit: a service counts as
+// started only once its image is there, and it stays, so it pays to wait for
+// nothing else.
+func imageWeight(s *bookkeeping.Spec) float64 {
+	if s.Service {
+		return 1000 + 4*s.ImageGB
+	}
+	return 4 * s.ImageGB
+}
+
 // zoneRule keeps one_zone and apart. It knows where the job's other tasks are;
 // the fence on the job's record keeps that knowledge exact at the commit.
 type zoneRule struct {
@@ -492,14 +507,79 @@
 	return part
 }
 
-// roomiest names the part with most room for a new job: ours if none has any.
+// roomiest names the part with most room for a new job; for a service, one that
+// has its image too comes first. If none has room: the part that could make
+// most, or ours.
 func (c *Core) roomiest(s *bookkeeping.Spec) string {
 	p := c.partRooms()
-	best, most := c.node, p.room(s, c.node)
-	for _, n := range c.live() {
-		if r := p.room(s, n); r > most {
-			best, most = n, r
+	best, most := c.node, 0
+	for _, score := range []func(string) int{
+		func(n string) int { return p.withImage(s, n) },
+		func(n string) int { return p.room(s, n) },
+		func(n string) int { return p.victims(s, n) },
+	} {
+		for _, n := range append([]string{c.node}, c.live()...) {
+			if r := score(n); r > most {
+				best, most = n, r
+			}
+		}
+		if most > 0 {
+			break
 		}
 	}
 	return best
 }
+
+// withImage counts a service's tasks that fit beside their image.
+func (p *partRooms) withImage(s *bookkeeping.Spec, part string) int {
+	if !s.Service {
+		return 0
+	}
+	need := amount{s.CPUs, s.GPUs, s.MemoryGB}
+	n := 0
+	for _, cd := range p.parts[part] {
+		if cd.m.images[s.Image] && mayRun(s, &cd.m.rec) {
+			n += need.count(cd.free)
+		}
+	}
+	return n
+}
+
+// victims counts the machines of a part on which a service would fit if tasks
+// of lower priority were stopped.
+func (p *partRooms) victims(s *bookkeeping.Spec, part string) int {
+	if !s.Service {
+		return 0
+	}
+	need := amount{s.CPUs, s.GPUs, s.MemoryGB}
+	n := 0
+	for _, cd := range p.parts[part] {
+		if !mayRun(s, &cd.m.rec) {
+			continue
+		}
+		free := cd.free
+		for ref := range cd.m.tasks {
+			if v := p.core.view.jobs[ref.job]; v != nil && v.version != 0 && v.rec.Spec.Priority < s.Priority {
+				free = free.plus(v.need, 1)
+			}
+		}
+		if need.fits(free) {
+			n++
+		}
+	}
+	return n
+}
+
+// mostVictims names the other part that could best make room, or "".
+func (p *partRooms) mostVictims(j *job, not string) string {
+	most, part := 0, ""
+	for _, n := range p.core.live() {
+		if n == not {
+			continue
+		}
+		if r := p.victims(&j.rec.Spec, n); r > most {
+			most, part = r, n
+		}
+	}
+	return part
+}
--- /dev/null
+++ b/internal/coordination/preempt.go
@@ -0,0 +1,110 @@
+package coordination
+
+import (
+	"sort"
+
+	"pipitgap/internal/micros"
+	"pipitgap/internal/protocol"
+)
+
+// preemptWait is how long room that was made for a job is waited for before
+// more is made.
+const preemptWait = 3 * micros.Second
+
+// preemption is the room being made for a job.
+type preemption struct {
+	count int
+	until micros.T
+}
+
+// victim is a running task of lower priority.
+type victim struct {
+	key  attemptKey
+	need amount
+	loss float64 // CPU seconds of work that stopping it throws away
+}
+
+// preempt stops tasks of lower priority so that up to want tasks of a service
+// get room on our machines; the cheapest loss first. Only services preempt: an
+// array gains little by it and the work thrown away is paid for. It tells
+// whether room is being made.
+func (c *Core) preempt(j *job, want int, zones *zoneRule, now micros.T) bool {
+	p := c.preempting[j.id]
+	if p != nil && now < p.until {
+		return true
+	}
+	made := 0
+	for ; made < min(want, 8); made++ {
+		var best *machine
+		var bestVictims []victim
+		bestLoss := 0.0
+		for _, cd := range c.candidates(now) {
+			m := cd.m
+			if !mayRun(&j.rec.Spec, &m.rec) || !zones.ok(m.rec.Zone) || len(m.w.stopping) > 0 {
+				continue
+			}
+			vs, loss, ok := c.victimsOn(m, j, cd.free, now)
+			if !ok {
+				continue
+			}
+			if !m.images[j.rec.Spec.Image] {
+				loss += 8 * j.rec.Spec.ImageGB
+			}
+			if best == nil || loss < bestLoss {
+				best, bestVictims, bestLoss = m, vs, loss
+			}
+		}
+		if best == nil {
+			break
+		}
+		for _, v := range bestVictims {
+			best.w.stopping[v.key] = true
+			c.log.Debug("task preempted", "task", v.key.ref.String(), "attempt", v.key.attempt, "machine", best.id, "for", j.id)
+		}
+		c.sync(best)
+	}
+	if made == 0 {
+		return false
+	}
+	c.preempting[j.id] = &preemption{made, now + preemptWait}
+	return true
+}
+
+// victimsOn picks the tasks of a machine whose stop makes room for one task of
+// a job, with least work lost.
+func (c *Core) victimsOn(m *machine, j *job, free amount, now micros.T) (vs []victim, loss float64, ok bool) {
+	var all []victim
+	for ref, attempt := range m.tasks {
+		v := c.view.jobs[ref.job]
+		if v == nil || !v.open() || v.rec.Spec.Priority >= j.rec.Spec.Priority || c.settled(v, ref, attempt) {
+			continue
+		}
+		k := attemptKey{ref, attempt}
+		if t, has := m.w.rep[k]; has && t.State == protocol.StateExited {
+			continue
+		}
+		ran := 0.0
+		if at, ok := m.w.since[k]; ok {
+			ran = (now - at).Seconds()
+		}
+		if cp := v.rec.Spec.CheckpointS; cp > 0 {
+			ran = min(ran, cp)
+		}
+		all = append(all, victim{k, v.need, ran * v.need.cpus})
+	}
+	sort.Slice(all, func(a, b int) bool {
+		if all[a].loss != all[b].loss {
+			return all[a].loss < all[b].loss
+		}
+		return all[a].key.ref.String() < all[b].key.ref.String()
+	})
+	for _, v := range all {
+		if j.need.fits(free) {
+			break
+		}
+		free = free.plus(v.need, 1)
+		loss += v.loss
+		vs = append(vs, v)
+	}
+	return vs, loss, j.need.fits(free) && len(vs) > 0
+}
--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -103,6 +103,7 @@
 	version uint64
 	used    amount
 	tasks   map[taskRef]uint32 // attempts that the store holds here
+	images  map[string]bool    // images that tasks have brought here, as far as we saw
 	w       *worker            // only while it is ours
 }
 
@@ -355,7 +356,7 @@
 func (v *View) machine(id string) *machine {
 	m := v.machines[id]
 	if m == nil {
-		m = &machine{id: id, tasks: map[taskRef]uint32{}}
+		m = &machine{id: id, tasks: map[taskRef]uint32{}, images: map[string]bool{}}
 		v.machines[id] = m
 	}
 	return m
@@ -398,6 +399,7 @@
 			m.used = m.used.plus(j.need, sign)
 			if sign > 0 {
 				m.tasks[ref] = t.Attempt
+				m.images[j.rec.Spec.Image] = true
 			} else {
 				delete(m.tasks, ref)
 				if len(m.tasks) == 0 {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -37,7 +37,8 @@
 	busy         bool // a direct batch is in flight
 	again        bool // and there is more to say afterwards
 	noticed      bool
-	images       map[string]micros.T
+	stopping     map[attemptKey]bool     // preempted: to be stopped
+	since        map[attemptKey]micros.T // first seen on the machine
 	failedJobs   map[string]bool
 	failed       int
 	succeeded    int
@@ -99,7 +100,7 @@
 		m.w = &worker{
 			claim: m.rec.Claim, claimVersion: m.version, heardAt: c.now(),
 			rep: map[attemptKey]protocol.TaskReport{}, sent: map[attemptKey]*sent{},
-			images: map[string]micros.T{}, failedJobs: map[string]bool{},
+			stopping: map[attemptKey]bool{}, since: map[attemptKey]micros.T{}, failedJobs: map[string]bool{},
 		}
 	}
 }
@@ -275,7 +276,7 @@
 			}
 			c.noteExit(m, j, ref, &t)
 			c.settle(j, ref, outcome{attempt, m.id, kind})
-		case !has && !j.open():
+		case !has && (!j.open() || w.stopping[k]):
 			// Absent after a kill that outranks every batch with its run: it
 			// isn't there and can't start any more.
 			if s := w.sent[k]; s != nil && s.kill != 0 && rep.Token >= s.kill {
@@ -283,6 +284,22 @@
 			}
 		}
 	}
+	now := c.now()
+	for k := range w.rep {
+		if _, ok := w.since[k]; !ok {
+			w.since[k] = now
+		}
+	}
+	for k := range w.since {
+		if _, here := w.rep[k]; !here {
+			delete(w.since, k)
+		}
+	}
+	for k := range w.stopping {
+		if m.tasks[k.ref] != k.attempt {
+			delete(w.stopping, k)
+		}
+	}
 	for k := range w.sent {
 		if _, here := w.rep[k]; !here && m.tasks[k.ref] != k.attempt {
 			delete(w.sent, k)
@@ -325,7 +342,8 @@
 	add := func(op string, k attemptKey) {
 		cmd := protocol.Command{Op: op, Task: k.ref.String(), Attempt: uint64(k.attempt)}
 		if op == protocol.CmdKill {
-			cmd.GraceS = &grace
+			g := grace
+			cmd.GraceS = &g
 		}
 		cmds = append(cmds, cmd)
 	}
@@ -361,12 +379,16 @@
 		if has && t.State == protocol.StateExited || c.settled(j, ref, attempt) {
 			continue
 		}
-		if !j.open() {
+		if !j.open() || w.stopping[k] {
 			s := w.told(k)
 			if due(&s.killAt) {
 				if s.kill == 0 {
 					s.kill = token
 				}
+				grace = 0
+				if j.open() && j.rec.Spec.CheckpointS > 0 {
+					grace = j.rec.Spec.SaveS // its progress is worth saving
+				}
 				add(protocol.CmdKill, k)
 			}
 			continue
