Parts take rows they have room for; silent and overdue machines given up earlier

Cause: rows bounced between parts (one task handed on seven times in two seconds), taken spot machines kept their tasks until the lease ended, machines booting for twice their time counted as supply.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -189,7 +189,10 @@
 	RemovalPause   Span `yaml:"removal_pause"`    // pause between deletions of a flagged machine
 	// ExpectedRoom is the part of a type's boot time within which room that
 	// running tasks will free counts as supply. The design counts none of it.
-	ExpectedRoom   float64 `yaml:"expected_room"`
+	ExpectedRoom float64 `yaml:"expected_room"`
+	// OverdueBoot is after how many boot times a machine that isn't up no longer
+	// counts as supply; 0: it counts until the readiness wait ends.
+	OverdueBoot    float64 `yaml:"overdue_boot"`
 	MaxConnections int     `yaml:"max_connections"` // lowers the platform's quota; 0: as the platform says
 }
 
@@ -272,6 +275,9 @@
 	if !finite(s.ExpectedRoom) || s.ExpectedRoom < 0 || s.ExpectedRoom > 10 {
 		return errors.New("expected_room: must lie between 0 and 10")
 	}
+	if !finite(s.OverdueBoot) || s.OverdueBoot < 0 || s.OverdueBoot > 100 {
+		return errors.New("overdue_boot: must lie between 0 and 100")
+	}
 	if s.MaxConnections < 0 {
 		return errors.New("max_connections: must be 0 or more")
 	}
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -18,6 +18,7 @@
 	mostADelete  = 100 // machines a deletion
 	mostAPass    = 64  // machines rented in a pass
 	deletedFor   = micros.Minute
+	bootWeight   = 60 // seconds: boot time that makes an offer look twice as dear
 )
 
 // leaderState is what a leader knows beside the store. A new term starts anew:
@@ -603,6 +604,10 @@
 			continue
 		}
 		n := a.rec.Count
+		if age := micros.T(c.env.Wall() - a.rec.At); a.rec.Phase == bookkeeping.AskProvisioning &&
+			c.set.OverdueBoot > 0 && age > micros.FromSeconds(t.BootS*c.set.OverdueBoot) {
+			continue // one of the slow or dead ones: no longer to be relied on
+		}
 		if a.rec.Phase == bookkeeping.AskProvisioning {
 			n = 0
 			for _, id := range a.rec.Machines {
@@ -662,6 +667,8 @@
 				if spot {
 					price = t.SpotPrice
 				}
+				// Boot time is paid for too, and keeps tasks waiting.
+				price *= 1 + t.BootS/bootWeight
 				if unmet[o] || price <= 0 {
 					continue
 				}
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -143,6 +143,7 @@
 	}
 	cands := c.candidates(now)
 	parts := c.partRooms()
+	wall := c.env.Wall()
 	batches := map[string]*batch{}
 	var order []string
 	teamLeft := map[string]amount{}
@@ -169,7 +170,7 @@
 		zones := newZoneRule(c.view, j)
 		looked := 0
 		for chunk := 0; chunk < j.chunks() && looked < rowsPerPass; chunk++ {
-			if rowOwner(j, chunk) != c.node {
+			if owner := rowOwner(j, chunk); owner != c.node && !c.mayTake(j, owner, parts, wall) {
 				continue
 			}
 			var version uint64
@@ -192,7 +193,9 @@
 			next := &bookkeeping.Row{Owner: c.node, Tasks: make([]bookkeeping.Task, j.chunkSize(chunk))}
 			if version != 0 {
 				next = j.rows[chunk].rec.Clone()
+				next.Owner = c.node
 			}
+			ours := rowOwner(j, chunk) == c.node
 			b := batches[spec.Team]
 			if b == nil {
 				b = &batch{team: spec.Team, conds: map[string]bool{}, uses: map[*machine]amount{}}
@@ -247,10 +250,7 @@
 			}
 			teamLeft[spec.Team] = left
 			handTo := ""
-			if roomless && now-rs.handedAt > handPause {
-				handTo = parts.best(j, c.node, pending-placed)
-			}
-			if roomless && handTo == "" && spec.Service {
+			if roomless && ours && spec.Service {
 				if !c.preempt(j, pending-placed, zones, now) && now-rs.handedAt > handPause {
 					handTo = parts.mostVictims(j, c.node)
 				}
@@ -290,6 +290,18 @@
 	}
 }
 
+// mayTake tells whether we may place tasks of another part's row: that part has
+// gone, has no room for them, or hasn't used what it seems to have. The row
+// becomes ours in the commit that assigns. That hands tasks on in one write, at
+// the time when there is room, and lets each part's room go to the most urgent
+// tasks of all.
+func (c *Core) mayTake(j *job, owner string, parts *partRooms, wall int64) bool {
+	if wall-j.rec.At > int64(micros.Second) || !c.isLive(owner) {
+		return true
+	}
+	return parts.room(&j.rec.Spec, owner) == 0
+}
+
 // assign commits a batch and then starts its tasks.
 func (c *Core) assign(b *batch) {
 	if len(b.rows) == 0 {
@@ -483,30 +495,6 @@
 	return n
 }
 
-// best names the part with most room for a job, other than ours, and takes the
-// room that want tasks will use; "" if none has any.
-func (p *partRooms) best(j *job, not string, want int) string {
-	most, part := 0, ""
-	for _, n := range p.core.live() {
-		if n == not {
-			continue
-		}
-		if r := p.room(&j.rec.Spec, n); r > most {
-			most, part = r, n
-		}
-	}
-	if part != "" {
-		for _, cd := range p.parts[part] {
-			if mayRun(&j.rec.Spec, &cd.m.rec) {
-				n := min(want, j.need.count(cd.free))
-				cd.free = cd.free.plus(j.need, -float64(n))
-				want -= n
-			}
-		}
-	}
-	return part
-}
-
 // roomiest names the part with most room for a new job; for a service, one that
 // has its image too comes first. If none has room: the part that could make
 // most, or ours.
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -685,6 +685,20 @@
 	lease := micros.FromSeconds(c.cfg.Facts.Workers.LeaseS)
 	report := micros.FromSeconds(c.cfg.Facts.Workers.ReportS)
 	proof := lease + lease/500 + micros.Second
+	// Long enough for a worker that lost us to have gone to another controller,
+	// which then takes the claim: a report's interval, the four seconds that it
+	// waits for an answer, one second to the next node, and a margin.
+	patience := report*5/4 + 7*micros.Second
+	ours, quiet := 0, 0
+	for _, m := range c.view.machines {
+		if m.w != nil && m.version != 0 {
+			ours++
+			if now-m.w.heardAt > 2*report {
+				quiet++
+			}
+		}
+	}
+	quiet = max(quiet, 1) - 1 // one alone may always be the one
 	live := c.live()
 	for id, at := range c.redirected {
 		if now-at > micros.Minute {
@@ -717,6 +731,12 @@
 		case removing:
 		case silent > proof+2*report:
 			c.remove(m, "silent")
+		case w.noticed && silent > 2*report+micros.Second:
+			c.remove(m, "taken")
+		case silent > patience && 3*quiet <= ours:
+			// Deleting it proves its tasks gone long before its lease would. Not
+			// when many are silent: then it is we who are cut off.
+			c.remove(m, "silent")
 		case w.faulty():
 			c.remove(m, "faulty")
 		case w.noticed && m.rec.State != bookkeeping.MachineDraining:
