Ordinary machines for spot tasks only after a longer expected wait; services packed

Cause: 45 machines rented for a backlog that the 16 spot ones clear within two boot times; services thinly spread kept five machines of 16 CPUs alive for seven CPUs.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -190,6 +190,9 @@
 	// ExpectedRoom is the part of a type's boot time within which room that
 	// running tasks will free counts as supply. The design counts none of it.
 	ExpectedRoom float64 `yaml:"expected_room"`
+	// ExpectedRoomOrdinary is the same for ordinary machines that would be rented
+	// for tasks that may use spot machines; at least ExpectedRoom.
+	ExpectedRoomOrdinary float64 `yaml:"expected_room_ordinary"`
 	// OverdueBoot is after how many boot times a machine that isn't up no longer
 	// counts as supply; 0: it counts until the readiness wait ends.
 	OverdueBoot    float64 `yaml:"overdue_boot"`
@@ -275,6 +278,9 @@
 	if !finite(s.ExpectedRoom) || s.ExpectedRoom < 0 || s.ExpectedRoom > 10 {
 		return errors.New("expected_room: must lie between 0 and 10")
 	}
+	if !finite(s.ExpectedRoomOrdinary) || s.ExpectedRoomOrdinary < 0 || s.ExpectedRoomOrdinary > 10 {
+		return errors.New("expected_room_ordinary: must lie between 0 and 10")
+	}
 	if !finite(s.OverdueBoot) || s.OverdueBoot < 0 || s.OverdueBoot > 100 {
 		return errors.New("overdue_boot: must lie between 0 and 100")
 	}
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -593,7 +593,8 @@
 			continue
 		}
 		b := &bin{typ: m.rec.Type, zone: m.rec.Zone, spot: m.rec.Spot, size: capacity(&t), free: capacity(&t).plus(m.used, -1)}
-		b.work = c.expectedWork(m, &t)
+		b.work = c.expectedWork(m, &t, c.set.ExpectedRoom)
+		b.later = c.expectedWork(m, &t, c.set.ExpectedRoomOrdinary)
 		bins = append(bins, b)
 	}
 	// Open requests are supply: the largest first of the design's order.
@@ -617,18 +618,23 @@
 			}
 		}
 		for ; n > 0; n-- {
-			bins = append(bins, &bin{typ: a.rec.Type, zone: a.rec.Zone, spot: a.rec.Spot, size: capacity(&t), free: capacity(&t)})
+			bins = append(bins, &bin{typ: a.rec.Type, zone: a.rec.Zone, spot: a.rec.Spot, size: capacity(&t), free: capacity(&t),
+				work:  c.expectedWork(nil, &t, c.set.ExpectedRoom),
+				later: c.expectedWork(nil, &t, c.set.ExpectedRoomOrdinary)})
 		}
 	}
 	return ds, bins
 }
 
 // expectedWork estimates the CPU seconds that a machine can give to waiting
-// tasks within the horizon: what its services hold is out, and its other tasks
-// are taken to be half through.
-func (c *Core) expectedWork(m *machine, t *protocol.MachineType) float64 {
-	horizon := c.set.ExpectedRoom * t.BootS
+// tasks within a part of its type's boot time: what its services hold is out,
+// and its other tasks are taken to be half through.
+func (c *Core) expectedWork(m *machine, t *protocol.MachineType, part float64) float64 {
+	horizon := part * t.BootS
 	work := t.CPUs * horizon
+	if m == nil {
+		return work
+	}
 	for ref := range m.tasks {
 		j := c.view.jobs[ref.job]
 		if j == nil || j.version == 0 {
@@ -688,7 +694,7 @@
 	ds, bins := c.demands(now)
 	largestFirst(ds)
 	fill(ds, bins)
-	absorb(ds, bins)
+	absorb(ds, bins, false)
 	l := &c.leader
 	wanted := ds[:0]
 	waiting := map[string]bool{}
@@ -706,7 +712,7 @@
 	for _, d := range wanted {
 		before[d.job] = d.count
 	}
-	chosen := plan(wanted, c.offers(), mostAPass)
+	chosen := c.choosePlan(wanted, bins)
 	for _, d := range wanted {
 		c.backOff(d, d.count < before[d.job], now)
 	}
@@ -728,6 +734,25 @@
 	c.tendEmpty(now)
 }
 
+// choosePlan plans in two steps: first spot machines for the tasks that may use
+// them, and what the others need; then, for spot tasks that are left and would
+// wait beyond the longer horizon, ordinary machines.
+func (c *Core) choosePlan(wanted []*demand, bins []*bin) map[offer]int {
+	chosen := map[offer]int{}
+	offers := c.offers()
+	plan(wanted, offers, mostAPass, func(d *demand, o *offerInfo) bool { return o.spot == d.spec.Spot }, chosen)
+	for o, n := range chosen {
+		t := c.types[o.typ]
+		for ; n > 0; n-- {
+			work := t.CPUs * t.BootS * c.set.ExpectedRoomOrdinary
+			bins = append(bins, &bin{typ: o.typ, zone: o.zone, spot: o.spot, size: capacity(&t), later: work})
+		}
+	}
+	absorb(wanted, bins, true)
+	plan(wanted, offers, mostAPass, nil, chosen)
+	return chosen
+}
+
 // backOff follows a job whose tasks no offer can take: after several passes it
 // pauses, longer each time, and at the ceiling it leaves the demand until an
 // offer recovers.
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -384,6 +384,10 @@
 		if !cd.m.images[spec.Image] {
 			score += imageWeight(spec)
 		}
+		if spec.Service {
+			// Services last: kept together they leave other machines to empty.
+			score -= 8 * c.serviceCPUs(cd.m)
+		}
 		if score < bestScore {
 			best, bestScore = cd, score
 		}
@@ -405,6 +409,17 @@
 	return best
 }
 
+// serviceCPUs tells what services hold of a machine.
+func (c *Core) serviceCPUs(m *machine) float64 {
+	n := 0.0
+	for ref := range m.tasks {
+		if j := c.view.jobs[ref.job]; j != nil && j.rec.Spec.Service {
+			n += j.need.cpus
+		}
+	}
+	return n
+}
+
 // imageWeight weighs an image fetch against a tighter fit: a service counts as
 // started only once its image is there, and it stays, so it pays to wait for
 // nothing else.
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -36,29 +36,37 @@
 	spot      bool
 	size      amount // the machine's
 	free      amount
-	work      float64 // CPU seconds that it can still do within the horizon
+	work      float64 // CPU seconds that it can still give to waiting tasks in time
+	later     float64 // and within the longer horizon of ordinary machines
 }
 
 // absorb takes from the demands what running machines will have room for before
 // a new one could be up: renting for those tasks would bring machines that find
 // nothing to do. Services never end, so none of their tasks is absorbed.
-func absorb(ds []*demand, bins []*bin) {
+// With later, only tasks that may use spot machines are taken, by the longer
+// horizon: they wait longer before an ordinary machine is rented for them.
+func absorb(ds []*demand, bins []*bin, later bool) {
 	byUrgency := append([]*demand(nil), ds...)
 	sort.SliceStable(byUrgency, func(a, b int) bool { return byUrgency[a].index < byUrgency[b].index })
 	for _, d := range byUrgency {
 		each := d.need.cpus * max(d.spec.EstimateS, 1)
-		if d.spec.Service || each <= 0 || d.zones != nil && (d.zones.oneZone || d.zones.spread) {
+		if later && !d.spec.Spot || d.spec.Service || each <= 0 || d.zones != nil && (d.zones.oneZone || d.zones.spread) {
 			continue
 		}
 		for _, b := range bins {
 			if d.count == 0 {
 				break
 			}
-			if b.work < each || !d.mayUse(b.typ, b.zone, b.spot) || !d.need.fits(b.size) {
+			work := &b.work
+			if later {
+				work = &b.later
+			}
+			if *work < each || !d.mayUse(b.typ, b.zone, b.spot) || !d.need.fits(b.size) {
 				continue
 			}
-			n := min(d.count, int(b.work/each))
+			n := min(d.count, int(*work/each))
 			b.work -= float64(n) * each
+			b.later -= float64(n) * each
 			d.count -= n
 		}
 	}
@@ -121,17 +129,18 @@
 				b.free = b.free.plus(d.need, -float64(n))
 				d.take(n, b.zone)
 				b.work -= float64(n) * d.need.cpus * d.spec.EstimateS
+				b.later -= float64(n) * d.need.cpus * d.spec.EstimateS
 			}
 		}
 	}
 }
 
 // packing is what one machine of an offer would carry.
-func packing(o *offerInfo, ds []*demand) (take []int, cpus float64) {
+func packing(o *offerInfo, ds []*demand, only func(*demand, *offerInfo) bool) (take []int, cpus float64) {
 	free := o.capacity
 	take = make([]int, len(ds))
 	for i, d := range ds {
-		if d.count == 0 || !d.mayUse(o.typ, o.zone, o.spot) {
+		if d.count == 0 || !d.mayUse(o.typ, o.zone, o.spot) || only != nil && !only(d, o) {
 			continue
 		}
 		n := d.fitting(free, o.zone)
@@ -145,14 +154,14 @@
 // plan chooses what to rent for demands that fit nowhere: each time the offer
 // with the best price for the CPUs that would be used, ties to the zone with
 // fewest machines. What remains of the demands can't be met now.
-func plan(ds []*demand, offers []*offerInfo, most int) map[offer]int {
-	out := map[offer]int{}
+// only, if set, says which demands may use an offer.
+func plan(ds []*demand, offers []*offerInfo, most int, only func(*demand, *offerInfo) bool, out map[offer]int) {
 	for n := 0; n < most; n++ {
 		var best *offerInfo
 		var bestTake []int
 		bestCost := 0.0
 		for _, o := range offers {
-			take, cpus := packing(o, ds)
+			take, cpus := packing(o, ds, only)
 			if cpus <= 0 {
 				continue
 			}
@@ -174,5 +183,4 @@
 			}
 		}
 	}
-	return out
 }
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -685,10 +685,9 @@
 	lease := micros.FromSeconds(c.cfg.Facts.Workers.LeaseS)
 	report := micros.FromSeconds(c.cfg.Facts.Workers.ReportS)
 	proof := lease + lease/500 + micros.Second
-	// Long enough for a worker that lost us to have gone to another controller,
-	// which then takes the claim: a report's interval, the four seconds that it
-	// waits for an answer, one second to the next node, and a margin.
-	patience := report*5/4 + 7*micros.Second
+	// Three reports in a row have not come. One machine alone that falls silent is
+	// dead or cut off; its services are better started elsewhere at once.
+	patience := 3*report + micros.Second/2
 	ours, quiet := 0, 0
 	for _, m := range c.view.machines {
 		if m.w != nil && m.version != 0 {
