Headroom for services

Cause: the first services waited for slow boots, later ones for a boot whenever ordinary machines were full of services.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -193,6 +193,9 @@
 	// ExpectedRoomOrdinary is the same for ordinary machines that would be rented
 	// for tasks that may use spot machines; at least ExpectedRoom.
 	ExpectedRoomOrdinary float64 `yaml:"expected_room_ordinary"`
+	// ServiceHeadroom is the part of what each class of services uses that is kept
+	// free, or in use by what a service may preempt, for services yet to come.
+	ServiceHeadroom float64 `yaml:"service_headroom"`
 	// OverdueBoot is after how many boot times a machine that isn't up no longer
 	// counts as supply; 0: it counts until the readiness wait ends.
 	OverdueBoot    float64 `yaml:"overdue_boot"`
@@ -281,6 +284,9 @@
 	if !finite(s.ExpectedRoomOrdinary) || s.ExpectedRoomOrdinary < 0 || s.ExpectedRoomOrdinary > 10 {
 		return errors.New("expected_room_ordinary: must lie between 0 and 10")
 	}
+	if !finite(s.ServiceHeadroom) || s.ServiceHeadroom < 0 || s.ServiceHeadroom > 2 {
+		return errors.New("service_headroom: must lie between 0 and 2")
+	}
 	if !finite(s.OverdueBoot) || s.OverdueBoot < 0 || s.OverdueBoot > 100 {
 		return errors.New("overdue_boot: must lie between 0 and 100")
 	}
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"sort"
 
 	"pipitgap/internal/bookkeeping"
@@ -593,6 +594,12 @@
 			continue
 		}
 		b := &bin{typ: m.rec.Type, zone: m.rec.Zone, spot: m.rec.Spot, size: capacity(&t), free: capacity(&t).plus(m.used, -1)}
+		b.machine = id
+		for ref := range m.tasks {
+			if j := c.view.jobs[ref.job]; j != nil && j.version != 0 && !j.rec.Spec.Service {
+				b.stoppable = b.stoppable.plus(j.need, 1)
+			}
+		}
 		b.work = c.expectedWork(m, &t, c.set.ExpectedRoom)
 		b.later = c.expectedWork(m, &t, c.set.ExpectedRoomOrdinary)
 		bins = append(bins, b)
@@ -694,7 +701,11 @@
 	ds, bins := c.demands(now)
 	largestFirst(ds)
 	fill(ds, bins)
+	reserve := c.headroom()
+	needed := map[string]bool{}
+	holdRoom(reserve, bins, needed)
 	absorb(ds, bins, false)
+	ds = append(ds, reserve...)
 	l := &c.leader
 	wanted := ds[:0]
 	waiting := map[string]bool{}
@@ -731,7 +742,33 @@
 			c.ask(o, min(n, mostARent))
 		}
 	}
-	c.tendEmpty(now)
+	c.tendEmpty(now, needed)
+}
+
+// headroom is room that is kept for services yet to come: a part of what each
+// class of services uses now. A service that finds room starts within its image
+// fetch, one that doesn't waits for a boot.
+func (c *Core) headroom() []*demand {
+	if c.set.ServiceHeadroom == 0 {
+		return nil
+	}
+	count := map[string]int{}
+	like := map[string]*job{}
+	for _, id := range sortedKeys(c.view.jobs) {
+		if j := c.view.jobs[id]; j.open() && j.rec.Spec.Service {
+			k := j.rec.Spec.Class
+			count[k] += j.rec.Spec.Tasks
+			like[k] = j
+		}
+	}
+	var out []*demand
+	for _, k := range sortedKeys(like) {
+		spec := like[k].rec.Spec
+		spec.OneZone, spec.Spread, spec.Zone, spec.Types = false, false, "", nil
+		n := int(math.Ceil(float64(count[k]) * c.set.ServiceHeadroom))
+		out = append(out, &demand{spec: &spec, need: like[k].need, count: n, job: "headroom " + k, index: math.MaxInt32})
+	}
+	return out
 }
 
 // choosePlan plans in two steps: first spot machines for the tasks that may use
@@ -810,11 +847,11 @@
 // still empty. An assignment to a closing machine must reopen it, which changes
 // its record; so a removal conditional on that record can't hit a task that
 // came meanwhile, given a mirror no older than the closing.
-func (c *Core) tendEmpty(now micros.T) {
+func (c *Core) tendEmpty(now micros.T, needed map[string]bool) {
 	l := &c.leader
 	for _, id := range sortedKeys(c.view.machines) {
 		m := c.view.machines[id]
-		if m.version == 0 || len(m.tasks) > 0 {
+		if m.version == 0 || len(m.tasks) > 0 || needed[id] && m.rec.State != bookkeeping.MachineDraining {
 			delete(l.emptyAt, id)
 			delete(l.closedAt, id)
 			continue
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -37,6 +37,8 @@
 	size      amount // the machine's
 	free      amount
 	work      float64 // CPU seconds that it can still give to waiting tasks in time
+	stoppable amount  // taken by tasks that a service may preempt
+	machine   string  // "" for a requested one
 	later     float64 // and within the longer horizon of ordinary machines
 }
 
@@ -135,6 +137,31 @@
 	}
 }
 
+// holdRoom takes headroom from the bins, also where tasks run that a service may
+// preempt, and notes the machines that it needs.
+func holdRoom(ds []*demand, bins []*bin, needed map[string]bool) {
+	for _, d := range ds {
+		for _, empty := range []bool{false, true} { // machines in use first
+			for _, b := range bins {
+				if d.count == 0 {
+					break
+				}
+				room := b.free.plus(b.stoppable, 1)
+				if (room == b.size) != empty || !d.mayUse(b.typ, b.zone, b.spot) {
+					continue
+				}
+				n := d.fitting(room, b.zone)
+				if n == 0 {
+					continue
+				}
+				b.stoppable = b.stoppable.plus(d.need, -float64(n))
+				d.count -= n
+				needed[b.machine] = true
+			}
+		}
+	}
+}
+
 // packing is what one machine of an offer would carry.
 func packing(o *offerInfo, ds []*demand, only func(*demand, *offerInfo) bool) (take []int, cpus float64) {
 	free := o.capacity
