--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -344,6 +344,7 @@
 			return
 		}
 		c.stats.placed += len(b.uses)
+		c.log.Debug("tasks assigned", "rows", b.rows, "machines", len(b.uses))
 		machines := make([]*machine, 0, len(b.uses))
 		for m := range b.uses {
 			machines = append(machines, m)
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -276,7 +276,7 @@
 		switch r.Outcome {
 		case protocol.OK:
 			c.stats.accepted++
-			c.log.Debug("job accepted", "job", id, "tasks", spec.Tasks, "owner", rec.Owner)
+			c.log.Debug("job accepted", "job", id, "class", spec.Class, "tasks", spec.Tasks, "estimate_s", spec.EstimateS, "owner", rec.Owner)
 			answer(Reply{Status: 201, Body: protocol.MustMarshal(&protocol.Accepted{ID: id, Status: protocol.JobPending})})
 			c.placeAt = 0
 			c.fast(c.now())
