Horizon of ordinary machines by each job's own slack

Cause: headroom rented a machine every pass because arrays filled its bins first (45 machines for the opening backlog); fixed order of fill, then the horizon tuned.

--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -584,7 +584,7 @@
 		n := min(spec.Tasks-j.done-j.held, j.need.count(left))
 		teamLeft[spec.Team] = left.plus(j.need, -float64(n))
 		if n > 0 {
-			ds = append(ds, &demand{spec: spec, need: j.need, count: n, job: j.id, index: i, zones: newZoneRule(c.view, j)})
+			ds = append(ds, &demand{spec: spec, need: j.need, count: n, job: j.id, index: i, zones: newZoneRule(c.view, j), slack: c.slack(j, c.env.Wall())})
 		}
 	}
 	for _, id := range sortedKeys(c.view.machines) {
@@ -600,8 +600,7 @@
 				b.stoppable = b.stoppable.plus(j.need, 1)
 			}
 		}
-		b.work = c.expectedWork(m, &t, c.set.ExpectedRoom)
-		b.later = c.expectedWork(m, &t, c.set.ExpectedRoomOrdinary)
+		c.expectedRoom(b, m)
 		bins = append(bins, b)
 	}
 	// Open requests are supply: the largest first of the design's order.
@@ -626,34 +625,48 @@
 		}
 		for ; n > 0; n-- {
 			bins = append(bins, &bin{typ: a.rec.Type, zone: a.rec.Zone, spot: a.rec.Spot, size: capacity(&t), free: capacity(&t),
-				work:  c.expectedWork(nil, &t, c.set.ExpectedRoom),
-				later: c.expectedWork(nil, &t, c.set.ExpectedRoomOrdinary)})
+				rate: t.CPUs, boot: t.BootS})
 		}
 	}
 	return ds, bins
 }
 
-// expectedWork estimates the CPU seconds that a machine can give to waiting
-// tasks within a part of its type's boot time: what its services hold is out,
-// and its other tasks are taken to be half through.
-func (c *Core) expectedWork(m *machine, t *protocol.MachineType, part float64) float64 {
-	horizon := part * t.BootS
-	work := t.CPUs * horizon
-	if m == nil {
-		return work
-	}
+// expectedRoom estimates what a machine can give to waiting tasks: what its
+// services hold is out, and its other tasks are taken to be half through.
+func (c *Core) expectedRoom(b *bin, m *machine) {
+	t := c.types[b.typ]
+	b.rate, b.boot = t.CPUs, t.BootS
 	for ref := range m.tasks {
 		j := c.view.jobs[ref.job]
 		if j == nil || j.version == 0 {
 			continue
 		}
 		if j.rec.Spec.Service {
-			work -= j.need.cpus * horizon
+			b.rate -= j.need.cpus
 		} else {
-			work -= j.need.cpus * min(horizon, j.rec.Spec.EstimateS/2)
+			b.busy += j.need.cpus * j.rec.Spec.EstimateS / 2
 		}
 	}
-	return work
+}
+
+// slack tells how many seconds a job's waiting tasks may still wait and meet the
+// users' aim: its deadline, else the longest time that an objective for its class
+// gives it; without either, as long as the horizon.
+func (c *Core) slack(j *job, wall int64) float64 {
+	s := &j.rec.Spec
+	within := s.DeadlineS
+	if within == 0 {
+		for _, o := range c.cfg.Facts.Objectives {
+			if o.Kind == "finished" && o.Class == s.Class {
+				within = max(within, o.WithinS)
+			}
+		}
+	}
+	if within == 0 {
+		return math.Inf(1)
+	}
+	const doubt = 1.2 // estimates are wrong, and images must be fetched
+	return within - micros.T(wall-j.rec.At).Seconds() - doubt*s.EstimateS
 }
 
 // offers lists what may be rented now.
@@ -704,7 +717,7 @@
 	reserve := c.headroom()
 	needed := map[string]bool{}
 	holdRoom(reserve, bins, needed)
-	absorb(ds, bins, false)
+	absorb(ds, bins, c.set.ExpectedRoom, false)
 	ds = append(ds, reserve...)
 	l := &c.leader
 	wanted := ds[:0]
@@ -781,11 +794,10 @@
 	for o, n := range chosen {
 		t := c.types[o.typ]
 		for ; n > 0; n-- {
-			work := t.CPUs * t.BootS * c.set.ExpectedRoomOrdinary
-			bins = append(bins, &bin{typ: o.typ, zone: o.zone, spot: o.spot, size: capacity(&t), later: work})
+			bins = append(bins, &bin{typ: o.typ, zone: o.zone, spot: o.spot, size: capacity(&t), rate: t.CPUs, boot: t.BootS})
 		}
 	}
-	absorb(wanted, bins, true)
+	absorb(wanted, bins, c.set.ExpectedRoomOrdinary, true)
 	plan(wanted, offers, mostAPass, nil, chosen)
 	return chosen
 }
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -28,6 +28,7 @@
 	job   string
 	index int // place in the order of urgency
 	zones *zoneRule
+	slack float64 // seconds that it may wait and still meet its aim
 }
 
 // bin is a machine with room, there already or requested.
@@ -36,18 +37,19 @@
 	spot      bool
 	size      amount // the machine's
 	free      amount
-	work      float64 // CPU seconds that it can still give to waiting tasks in time
+	rate      float64 // CPUs that services leave to other tasks
+	busy      float64 // CPU seconds of those that are spoken for
+	boot      float64 // boot time of its type, seconds
 	stoppable amount  // taken by tasks that a service may preempt
 	machine   string  // "" for a requested one
-	later     float64 // and within the longer horizon of ordinary machines
 }
 
-// absorb takes from the demands what running machines will have room for before
-// a new one could be up: renting for those tasks would bring machines that find
-// nothing to do. Services never end, so none of their tasks is absorbed.
-// With later, only tasks that may use spot machines are taken, by the longer
-// horizon: they wait longer before an ordinary machine is rented for them.
-func absorb(ds []*demand, bins []*bin, later bool) {
+// absorb takes from the demands what running machines will have room for within
+// part boot times: renting for those tasks would bring machines that find
+// nothing to do. Services never end, so none of their tasks is absorbed. With
+// later, only tasks that may use spot machines are taken, and by as long as their
+// own aim lets them wait, at most part: an ordinary machine is dear for them.
+func absorb(ds []*demand, bins []*bin, part float64, later bool) {
 	byUrgency := append([]*demand(nil), ds...)
 	sort.SliceStable(byUrgency, func(a, b int) bool { return byUrgency[a].index < byUrgency[b].index })
 	for _, d := range byUrgency {
@@ -59,21 +61,25 @@
 			if d.count == 0 {
 				break
 			}
-			work := &b.work
+			horizon := part * b.boot
 			if later {
-				work = &b.later
+				horizon = min(horizon, max(d.slack, leastWait*b.boot))
 			}
-			if *work < each || !d.mayUse(b.typ, b.zone, b.spot) || !d.need.fits(b.size) {
+			work := b.rate*horizon - b.busy
+			if work < each || !d.mayUse(b.typ, b.zone, b.spot) || !d.need.fits(b.size) {
 				continue
 			}
-			n := min(d.count, int(*work/each))
-			b.work -= float64(n) * each
-			b.later -= float64(n) * each
+			n := min(d.count, int(work/each))
+			b.busy += float64(n) * each
 			d.count -= n
 		}
 	}
 }
 
+// leastWait is the part of a boot time that a spot task waits in any case before
+// an ordinary machine is rented for it: sooner than that none would be up.
+const leastWait = 0.8
+
 func (d *demand) mayUse(typ, zone string, spot bool) bool {
 	return allowed(d.spec, typ, zone) && (d.spec.Spot || !spot)
 }
@@ -95,10 +101,15 @@
 	}
 }
 
-// largestFirst sorts demands by the design's rule.
+// largestFirst sorts demands by the design's rule, but first those that may not
+// use spot machines: the others would fill the ordinary machines asked for them,
+// and each pass would ask for more.
 func largestFirst(ds []*demand) {
 	sort.SliceStable(ds, func(a, b int) bool {
 		x, y := ds[a], ds[b]
+		if x.spec.Spot != y.spec.Spot {
+			return y.spec.Spot
+		}
 		if x.need.gpus != y.need.gpus {
 			return x.need.gpus > y.need.gpus
 		}
@@ -130,8 +141,14 @@
 				n := d.fitting(b.free, b.zone)
 				b.free = b.free.plus(d.need, -float64(n))
 				d.take(n, b.zone)
-				b.work -= float64(n) * d.need.cpus * d.spec.EstimateS
-				b.later -= float64(n) * d.need.cpus * d.spec.EstimateS
+				if d.spec.Service {
+					b.rate -= float64(n) * d.need.cpus
+				} else {
+					b.busy += float64(n) * d.need.cpus * d.spec.EstimateS
+					// What is only meant to run there is no more in a service's way than
+					// what runs: headroom must not rent for it, pass after pass.
+					b.stoppable = b.stoppable.plus(d.need, float64(n))
+				}
 			}
 		}
 	}
