Machine types kept in the store; restarted controllers ask their workers at once

Cause: after a crash of all controllers in a cloud outage nothing was accepted or placed for 20 s (types unknown); after any restart placement waited for each worker's next report.

--- a/internal/bookkeeping/records.go
+++ b/internal/bookkeeping/records.go
@@ -20,6 +20,7 @@
 	KindOpen    = "open"    // an unfinished job: its description, owner and status
 	KindRun     = "run"     // a chunk of an unfinished job's tasks
 	KindMachine = "machine" // a claimed machine
+	KindType    = "type"    // a machine type, for starts during the cloud's outages
 	KindTeam    = "team"    // the fence of a team with a limit
 	KindAsk     = "ask"     // a rental request
 	KindRemoval = "removal" // a machine being given back
@@ -274,6 +275,19 @@
 	Failed bool   `msgpack:"f,omitempty"`
 }
 
+// Type is the record of KindType.
+type Type struct {
+	CPUs        float64  `msgpack:"c"`
+	GPUs        float64  `msgpack:"g"`
+	MemoryGB    float64  `msgpack:"m"`
+	CacheGB     float64  `msgpack:"k"`
+	FetchGBPerS float64  `msgpack:"f"`
+	Price       float64  `msgpack:"p"`
+	SpotPrice   float64  `msgpack:"s"`
+	BootS       float64  `msgpack:"b"`
+	Zones       []string `msgpack:"z"`
+}
+
 // Member is the record of KindMember.
 type Member struct {
 	Incarnation uint64 `msgpack:"i"`
--- a/internal/coordination/cluster_test.go
+++ b/internal/coordination/cluster_test.go
@@ -91,7 +91,12 @@
 			if w.Machine.Gone || w.Silent || w.Hanging || c.cut[id+"-"+e.n.name] {
 				return
 			}
-			r := w.Do(req)
+			r := protocol.DoResult{Status: 200}
+			if req == nil {
+				r.Report = *w.Body()
+			} else {
+				r = w.Do(req)
+			}
 			c.sim.After(2*micros.Millisecond, func() { answer(r) })
 		})
 	}
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -191,7 +191,7 @@
 func (c *Core) slow(now micros.T) {
 	c.watchStore(now)
 	c.gossip(now)
-	if c.types == nil || now-c.catalogAt > 60*micros.Second {
+	if c.catalogAt == 0 || now-c.catalogAt > 60*micros.Second {
 		c.fetchCatalog()
 	}
 	if !c.ready {
@@ -342,7 +342,7 @@
 	c.loading, c.ready = true, false
 	kinds := []string{
 		bookkeeping.KindAsk, bookkeeping.KindLead, bookkeeping.KindMachine, bookkeeping.KindMember,
-		bookkeeping.KindOpen, bookkeeping.KindRemoval, bookkeeping.KindRun, bookkeeping.KindTeam,
+		bookkeeping.KindOpen, bookkeeping.KindRemoval, bookkeeping.KindRun, bookkeeping.KindTeam, bookkeeping.KindType,
 	}
 	view := newView(func(string, string) {})
 	view.finals = c.view.finals
@@ -399,6 +399,15 @@
 }
 
 func (c *Core) becomeReady() {
+	if c.types == nil && len(c.view.types) > 0 {
+		// The cloud may be out: what was known of it before still holds.
+		c.types = map[string]protocol.MachineType{}
+		for name, t := range c.view.types {
+			r := t.rec
+			c.types[name] = protocol.MachineType{Name: name, CPUs: r.CPUs, GPUs: r.GPUs, MemoryGB: r.MemoryGB, CacheGB: r.CacheGB,
+				FetchGBPerS: r.FetchGBPerS, Price: r.Price, SpotPrice: r.SpotPrice, BootS: r.BootS, Zones: r.Zones}
+		}
+	}
 	c.ready, c.dirty = true, true
 	c.log.Info("mirror complete", "revision", c.view.watched)
 	c.slowAt = 0
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"reflect"
 	"sort"
 
 	"pipitgap/internal/bookkeeping"
@@ -72,6 +73,7 @@
 		c.leader = newLeaderState(c.view.leadVer)
 	}
 	c.sweep()
+	c.keepTypes()
 	c.deadParts(now)
 	c.releaseGone()
 	c.removals(now)
@@ -211,6 +213,31 @@
 	}
 }
 
+// keepTypes keeps the cloud's catalogue in the store, so that a controller that
+// starts during an outage of the cloud can accept and place. Prices move all the
+// time and are not worth a write.
+func (c *Core) keepTypes() {
+	if c.catalogAt == 0 {
+		return
+	}
+	for _, name := range sortedKeys(c.types) {
+		t := c.types[name]
+		have := c.view.types[name]
+		rec := bookkeeping.Type{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB, CacheGB: t.CacheGB, FetchGBPerS: t.FetchGBPerS,
+			Price: t.Price, SpotPrice: t.SpotPrice, BootS: t.BootS, Zones: t.Zones}
+		same := rec
+		same.Price, same.SpotPrice = have.rec.Price, have.rec.SpotPrice
+		if have.version != 0 && reflect.DeepEqual(same, have.rec) || !protocol.ValidKeyPart(name) {
+			continue
+		}
+		key := bookkeeping.Key(bookkeeping.KindType, name)
+		c.leaderCommit(bookkeeping.RankRest, key, protocol.Txn{
+			If:   []protocol.Cond{{Key: key, Version: have.version}},
+			Then: []protocol.Op{{Put: key, Value: protocol.MustMarshal(&rec)}},
+		}, nil)
+	}
+}
+
 // releaseGone gives the tasks of deleted machines back and then forgets the
 // machines.
 func (c *Core) releaseGone() {
--- a/internal/coordination/service_test.go
+++ b/internal/coordination/service_test.go
@@ -367,6 +367,9 @@
 	c := newCluster(t, 7).steady()
 	var late []func()
 	c.lateDo = func(w *standin.Worker, req *protocol.DoRequest) micros.T {
+		if req == nil {
+			return 0
+		}
 		copied := *req
 		late = append(late, func() { w.Do(&copied) })
 		return 0
--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -118,6 +118,7 @@
 	teamUse  map[string]amount
 	asks     map[string]*askView
 	removals map[string]*removalView
+	types    map[string]typeView
 	members  map[string]memberView
 	lead     bookkeeping.Lead
 	leadVer  uint64
@@ -136,6 +137,11 @@
 	version uint64
 }
 
+type typeView struct {
+	rec     bookkeeping.Type
+	version uint64
+}
+
 type memberView struct {
 	rec     bookkeeping.Member
 	version uint64
@@ -145,7 +151,7 @@
 	return &View{
 		jobs: map[string]*job{}, machines: map[string]*machine{}, teams: map[string]uint64{},
 		teamUse: map[string]amount{}, asks: map[string]*askView{}, removals: map[string]*removalView{},
-		members: map[string]memberView{}, deleted: map[string]uint64{}, finals: newFinals(20000),
+		members: map[string]memberView{}, types: map[string]typeView{}, deleted: map[string]uint64{}, finals: newFinals(20000),
 		touched: touched,
 	}
 }
@@ -181,6 +187,8 @@
 		}
 	case bookkeeping.KindMember:
 		return v.members[name].version
+	case bookkeeping.KindType:
+		return v.types[name].version
 	case bookkeeping.KindLead:
 		return v.leadVer
 	}
@@ -255,6 +263,11 @@
 		if protocol.Unmarshal(value, &r.rec) == nil {
 			v.removals[name] = r
 		}
+	case bookkeeping.KindType:
+		t := typeView{version: version}
+		if protocol.Unmarshal(value, &t.rec) == nil {
+			v.types[name] = t
+		}
 	case bookkeeping.KindMember:
 		m := memberView{version: version}
 		if protocol.Unmarshal(value, &m.rec) == nil {
@@ -306,6 +319,8 @@
 		delete(v.asks, name)
 	case bookkeeping.KindRemoval:
 		delete(v.removals, name)
+	case bookkeeping.KindType:
+		delete(v.types, name)
 	case bookkeeping.KindMember:
 		delete(v.members, name)
 	case bookkeeping.KindLead:
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -699,6 +699,7 @@
 	}
 	quiet = max(quiet, 1) - 1 // one alone may always be the one
 	live := c.live()
+	var heirless []*machine
 	for id, at := range c.redirected {
 		if now-at > micros.Minute {
 			delete(c.redirected, id)
@@ -710,7 +711,9 @@
 			continue
 		}
 		if m.w == nil {
-			c.inherit(m, live, now)
+			if c.inherits(m, live, now) {
+				heirless = append(heirless, m)
+			}
 			continue
 		}
 		w := m.w
@@ -742,40 +745,82 @@
 			c.setState(m, bookkeeping.MachineDraining)
 		}
 	}
+	c.claimMany(heirless)
 }
 
 // faulty: tasks of several jobs, or one job again and again, failed on it and
 // nothing completed in between.
 func (w *worker) faulty() bool { return len(w.failedJobs) >= 2 || w.failed >= 4 }
 
-// inherit claims a machine whose owner has gone, if we are its home.
-func (c *Core) inherit(m *machine, live []string, now micros.T) {
+// inherits tells whether we are to claim a machine whose owner has gone: an
+// earlier incarnation of ours, or another controller and we are its home.
+func (c *Core) inherits(m *machine, live []string, now micros.T) bool {
+	if c.claiming[m.id] {
+		return false
+	}
 	owner := m.rec.Owner
 	if owner == c.node {
-		if m.rec.Incarnation != c.inc {
-			c.claimOnce(m)
-		}
-		return
+		return m.rec.Incarnation != c.inc
 	}
 	if c.isLive(owner) {
-		return
+		return false
 	}
 	since, ok := c.deadSince[owner]
 	if !ok {
 		c.deadSince[owner] = now
-		return
+		return false
 	}
-	if now-since > 2*micros.Second && home(m.id, live) == c.node {
-		c.claimOnce(m)
+	return now-since > 2*micros.Second && home(m.id, live) == c.node
+}
+
+// claimMany claims machines without having heard from them, several in a commit,
+// and asks their workers how things stand: a controller that has just started
+// needn't wait for each worker to find it.
+func (c *Core) claimMany(ms []*machine) {
+	most := c.cfg.Facts.State.TxnOps
+	for len(ms) > 0 {
+		n := min(most, len(ms))
+		batch := ms[:n]
+		ms = ms[n:]
+		t := protocol.Txn{}
+		for _, m := range batch {
+			c.claiming[m.id] = true
+			rec := m.rec
+			rec.Owner, rec.Incarnation = c.node, c.inc
+			rec.Claim++
+			key := bookkeeping.Key(bookkeeping.KindMachine, m.id)
+			t.If = append(t.If, protocol.Cond{Key: key, Version: m.version})
+			t.Then = append(t.Then, protocol.Op{Put: key, Value: protocol.MustMarshal(&rec)})
+		}
+		c.commit(bookkeeping.RankClaim, t, func(r protocol.StoreResult) {
+			for _, m := range batch {
+				delete(c.claiming, m.id)
+				if r.Outcome == protocol.OK {
+					c.show(c.view.machines[m.id])
+				}
+			}
+			c.log.Debug("machines claimed", "count", len(batch), "outcome", r.Outcome.String())
+		})
 	}
 }
 
-func (c *Core) claimOnce(m *machine) {
-	if c.claiming[m.id] {
+// show asks a worker for its report. What it says is taken like any report: it
+// proves nothing before the worker has seen our token.
+func (c *Core) show(m *machine) {
+	if m == nil || m.w == nil || m.rec.Endpoint == "" {
 		return
 	}
-	c.claiming[m.id] = true
-	c.claim(m.id, nil, func(bool) { delete(c.claiming, m.id) })
+	w := m.w
+	c.env.Command(m.rec.Endpoint, nil, commandWithin, func(r protocol.DoResult) {
+		rep := &r.Report
+		if m.w != w || r.Status != 200 || rep.Machine != m.id || !rep.Valid() ||
+			rep.Session < w.session || rep.Session == w.session && rep.Seq <= w.seq {
+			return
+		}
+		c.apply(m, rep)
+		c.sync(m)
+		c.dirty = true
+	})
 }
 
 // setState changes a machine's state in the store.
--- a/internal/protocol/clients.go
+++ b/internal/protocol/clients.go
@@ -240,9 +240,16 @@
 	Report Report
 }
 
-// CallWorker sends a command batch to a worker.
+// CallWorker sends a command batch to a worker; without one it only asks for the
+// worker's report.
 func CallWorker(cl *transport.Client, req *DoRequest, within micros.T) DoResult {
-	m, err := cl.Do("POST", "/do", MustMarshal(req), within)
+	var m *transport.Message
+	var err error
+	if req == nil {
+		m, err = cl.Do("GET", "/show", nil, within)
+	} else {
+		m, err = cl.Do("POST", "/do", MustMarshal(req), within)
+	}
 	if err != nil || m.Status != 200 && m.Status != 409 {
 		return DoResult{}
 	}
