--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -197,7 +197,8 @@
 	// free, or in use by what a service may preempt, for services yet to come.
 	ServiceHeadroom float64 `yaml:"service_headroom"`
 	// OverdueBoot is after how many boot times a machine that isn't up no longer
-	// counts as supply; 0: it counts until the readiness wait ends.
+	// counts as supply for services, and after half as many again for anything; 0:
+	// it counts until the readiness wait ends.
 	OverdueBoot    float64 `yaml:"overdue_boot"`
 	MaxConnections int     `yaml:"max_connections"` // lowers the platform's quota; 0: as the platform says
 }
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -638,9 +638,13 @@
 			continue
 		}
 		n := a.rec.Count
-		if age := micros.T(c.env.Wall() - a.rec.At); a.rec.Phase == bookkeeping.AskProvisioning &&
-			c.set.OverdueBoot > 0 && age > micros.FromSeconds(t.BootS*c.set.OverdueBoot) {
-			continue // one of the slow or dead ones: no longer to be relied on
+		late := false
+		if c.set.OverdueBoot > 0 && a.rec.Phase == bookkeeping.AskProvisioning {
+			boots := micros.T(c.env.Wall()-a.rec.At).Seconds() / max(t.BootS, 1)
+			if boots > 1.5*c.set.OverdueBoot {
+				continue // one of the slow or dead ones: no longer to be relied on
+			}
+			late = boots > c.set.OverdueBoot
 		}
 		if a.rec.Phase == bookkeeping.AskProvisioning {
 			n = 0
@@ -652,7 +656,7 @@
 		}
 		for ; n > 0; n-- {
 			bins = append(bins, &bin{typ: a.rec.Type, zone: a.rec.Zone, spot: a.rec.Spot, size: capacity(&t), free: capacity(&t),
-				rate: t.CPUs, boot: t.BootS})
+				rate: t.CPUs, boot: t.BootS, late: late})
 		}
 	}
 	return ds, bins
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -42,6 +42,7 @@
 	boot      float64 // boot time of its type, seconds
 	stoppable amount  // taken by tasks that a service may preempt
 	machine   string  // "" for a requested one
+	late      bool    // requested, and not up when it should be
 }
 
 // absorb takes from the demands what running machines will have room for within
@@ -135,7 +136,7 @@
 				if d.count == 0 {
 					break
 				}
-				if b.spot != spot || !d.mayUse(b.typ, b.zone, b.spot) {
+				if b.spot != spot || !d.mayUse(b.typ, b.zone, b.spot) || b.late && d.spec.Service {
 					continue
 				}
 				n := d.fitting(b.free, b.zone)
