--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -102,6 +102,7 @@
 	rows       map[string]*rowState // own bookkeeping beside the mirror, by row key
 	teamBusy   map[string]bool
 	jobState   map[string]*jobState
+	bias       map[string]float64         // by class: log of run time over estimate, lately
 	outcomes   map[string]map[int]outcome // by row key, then index in the row
 	dirty      bool
 	placeAt    micros.T
@@ -127,7 +128,7 @@
 		peerOK: map[string]micros.T{}, peerSeen: map[string]micros.T{}, deadSince: map[string]micros.T{},
 		rows: map[string]*rowState{}, teamBusy: map[string]bool{}, jobState: map[string]*jobState{},
 		outcomes: map[string]map[int]outcome{}, redirected: map[string]micros.T{}, claiming: map[string]bool{},
-		stateBusy: map[string]bool{}, preempting: map[string]*preemption{},
+		stateBusy: map[string]bool{}, preempting: map[string]*preemption{}, bias: map[string]float64{},
 	}
 	c.all = append(c.all, cfg.Node)
 	for _, p := range cfg.Known {
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -611,7 +611,7 @@
 		n := min(spec.Tasks-j.done-j.held, j.need.count(left))
 		teamLeft[spec.Team] = left.plus(j.need, -float64(n))
 		if n > 0 {
-			ds = append(ds, &demand{spec: spec, need: j.need, count: n, job: j.id, index: i, zones: newZoneRule(c.view, j), slack: c.slack(j, c.env.Wall())})
+			ds = append(ds, &demand{spec: spec, need: j.need, count: n, job: j.id, index: i, zones: newZoneRule(c.view, j), slack: c.slack(j, c.env.Wall()), lasts: c.expected(spec)})
 		}
 	}
 	for _, id := range sortedKeys(c.view.machines) {
@@ -675,7 +675,7 @@
 		if j.rec.Spec.Service {
 			b.rate -= j.need.cpus
 		} else {
-			b.busy += j.need.cpus * j.rec.Spec.EstimateS / 2
+			b.busy += j.need.cpus * c.expected(&j.rec.Spec) / 2
 		}
 	}
 }
@@ -697,7 +697,7 @@
 		return math.Inf(1)
 	}
 	const doubt = 1.2 // estimates are wrong, and images must be fetched
-	return within - micros.T(wall-j.rec.At).Seconds() - doubt*s.EstimateS
+	return within - micros.T(wall-j.rec.At).Seconds() - doubt*c.expected(s)
 }
 
 // offers lists what may be rented now.
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -28,6 +28,7 @@
 	job   string
 	index int // place in the order of urgency
 	zones *zoneRule
+	lasts float64 // seconds that a task is expected to run
 	slack float64 // seconds that it may wait and still meet its aim
 }
 
@@ -54,7 +55,7 @@
 	byUrgency := append([]*demand(nil), ds...)
 	sort.SliceStable(byUrgency, func(a, b int) bool { return byUrgency[a].index < byUrgency[b].index })
 	for _, d := range byUrgency {
-		each := d.need.cpus * max(d.spec.EstimateS, 1)
+		each := d.need.cpus * max(d.lasts, 1)
 		if later && !d.spec.Spot || d.spec.Service || each <= 0 || d.zones != nil && (d.zones.oneZone || d.zones.spread) {
 			continue
 		}
@@ -79,7 +80,7 @@
 
 // leastWait is the part of a boot time that a spot task waits in any case before
 // an ordinary machine is rented for it: sooner than that none would be up.
-const leastWait = 0.8
+const leastWait = 0.65
 
 func (d *demand) mayUse(typ, zone string, spot bool) bool {
 	return allowed(d.spec, typ, zone) && (d.spec.Spot || !spot)
@@ -145,7 +146,7 @@
 				if d.spec.Service {
 					b.rate -= float64(n) * d.need.cpus
 				} else {
-					b.busy += float64(n) * d.need.cpus * d.spec.EstimateS
+					b.busy += float64(n) * d.need.cpus * d.lasts
 					// What is only meant to run there is no more in a service's way than
 					// what runs: headroom must not rent for it, pass after pass.
 					b.stoppable = b.stoppable.plus(d.need, float64(n))
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"math"
 	"sort"
 
 	"pipitgap/internal/bookkeeping"
@@ -38,10 +39,9 @@
 	again        bool // and there is more to say afterwards
 	noticed      bool
 	stopping     map[attemptKey]bool     // preempted: to be stopped
-	since        map[attemptKey]micros.T // first seen on the machine
+	since        map[attemptKey]micros.T // first seen running
 	failedJobs   map[string]bool
 	failed       int
-	succeeded    int
 	reserved     amount
 }
 
@@ -285,8 +285,8 @@
 		}
 	}
 	now := c.now()
-	for k := range w.rep {
-		if _, ok := w.since[k]; !ok {
+	for k, t := range w.rep {
+		if _, ok := w.since[k]; !ok && t.State == protocol.StateRunning {
 			w.since[k] = now
 		}
 	}
@@ -627,7 +627,9 @@
 	w := m.w
 	switch t.Cause {
 	case protocol.CauseDone:
-		w.succeeded++
+		if at, ok := w.since[attemptKey{ref, uint32(t.Attempt)}]; ok && !j.rec.Spec.Service {
+			c.learn(&j.rec.Spec, (c.now() - at).Seconds())
+		}
 		w.failed, w.failedJobs = 0, map[string]bool{}
 		delete(c.jobState, j.id)
 	case protocol.CauseError:
@@ -649,6 +651,21 @@
 	}
 }
 
+// learn follows how far the owners' estimates of a class are off just now: on
+// some days they are mostly too high or mostly too low.
+func (c *Core) learn(s *bookkeeping.Spec, ran float64) {
+	if s.EstimateS <= 0 || ran <= 0 {
+		return
+	}
+	const weight = 0.05
+	c.bias[s.Class] += weight * (math.Log(ran/s.EstimateS) - c.bias[s.Class])
+}
+
+// expected is a task's estimate, corrected by what was learned.
+func (c *Core) expected(s *bookkeeping.Spec) float64 {
+	return s.EstimateS * math.Exp(min(max(c.bias[s.Class], -1), 1))
+}
+
 // jobState is what a controller notes about a job beside the store.
 type jobState struct {
 	fails    int
