--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -91,11 +91,12 @@
 	return a.id < b.id
 }
 
+// due is the latest start that meets a job's deadline, by its estimate.
 func due(j *job) int64 {
 	if j.rec.Spec.DeadlineS == 0 {
 		return math.MaxInt64
 	}
-	return j.rec.At + int64(micros.FromSeconds(j.rec.Spec.DeadlineS))
+	return j.rec.At + int64(micros.FromSeconds(j.rec.Spec.DeadlineS)) - int64(micros.FromSeconds(j.rec.Spec.EstimateS))
 }
 
 // openJobs lists unfinished jobs, the most urgent first.
