--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -680,24 +680,32 @@
 	}
 }
 
-// slack tells how many seconds a job's waiting tasks may still wait and meet the
-// users' aim: its deadline, else the longest time that an objective for its class
-// gives it; without either, as long as the horizon.
-func (c *Core) slack(j *job, wall int64) float64 {
-	s := &j.rec.Spec
-	within := s.DeadlineS
-	if within == 0 {
-		for _, o := range c.cfg.Facts.Objectives {
-			if o.Kind == "finished" && o.Class == s.Class {
-				within = max(within, o.WithinS)
-			}
+// doubt stretches estimates: they are wrong, and images must be fetched.
+const doubt = 1.2
+
+// within is the time that the users' aim gives a job: its deadline, else the
+// longest time of an objective for its class; without either, any.
+func (c *Core) within(s *bookkeeping.Spec) float64 {
+	if s.DeadlineS > 0 {
+		return s.DeadlineS
+	}
+	most := 0.0
+	for _, o := range c.cfg.Facts.Objectives {
+		if o.Kind == "finished" && o.Class == s.Class {
+			most = max(most, o.WithinS)
 		}
 	}
-	if within == 0 {
+	if most == 0 {
 		return math.Inf(1)
 	}
-	const doubt = 1.2 // estimates are wrong, and images must be fetched
-	return within - micros.T(wall-j.rec.At).Seconds() - doubt*c.expected(s)
+	return most
+}
+
+// slack tells how many seconds a job's waiting tasks may still wait and meet the
+// users' aim.
+func (c *Core) slack(j *job, wall int64) float64 {
+	s := &j.rec.Spec
+	return c.within(s) - micros.T(wall-j.rec.At).Seconds() - doubt*c.expected(s)
 }
 
 // offers lists what may be rented now.
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -76,38 +76,49 @@
 	return allowed(s, m.Type, m.Zone) && (s.Spot || !m.Spot)
 }
 
-// urgency orders jobs: higher priority, then the earlier deadline, then the
-// earlier acceptance.
-func urgency(a, b *job) bool {
-	if a.rec.Spec.Priority != b.rec.Spec.Priority {
-		return a.rec.Spec.Priority > b.rec.Spec.Priority
+// standing is a job's place in the order of urgency.
+type standing struct {
+	job   *job
+	slack float64 // seconds that it may still wait
+	late  bool    // long past its aim
+}
+
+// before orders jobs: higher priority first; of the same priority the least slack
+// first; last those that are long past their aim, the oldest of them first. Past what can be done, going by the deadline alone would
+// spend all machines on jobs that are late already and make every other late.
+func (a standing) before(b standing) bool {
+	x, y := a.job, b.job
+	if x.rec.Spec.Priority != y.rec.Spec.Priority {
+		return x.rec.Spec.Priority > y.rec.Spec.Priority
 	}
-	if da, db := due(a), due(b); da != db {
-		return da < db
+	if a.late != b.late {
+		return b.late
 	}
-	if a.rec.At != b.rec.At {
-		return a.rec.At < b.rec.At
+	if !a.late && a.slack != b.slack {
+		return a.slack < b.slack
 	}
-	return a.id < b.id
-}
-
-// due is the latest start that meets a job's deadline, by its estimate.
-func due(j *job) int64 {
-	if j.rec.Spec.DeadlineS == 0 {
-		return math.MaxInt64
+	if x.rec.At != y.rec.At {
+		return x.rec.At < y.rec.At
 	}
-	return j.rec.At + int64(micros.FromSeconds(j.rec.Spec.DeadlineS)) - int64(micros.FromSeconds(j.rec.Spec.EstimateS))
+	return x.id < y.id
 }
 
-// openJobs lists unfinished jobs, the most urgent first.
+// openJobs lists jobs with unplaced tasks, the most urgent first.
 func (c *Core) openJobs() []*job {
-	var out []*job
+	var all []standing
+	wall := c.env.Wall()
 	for _, j := range c.view.jobs {
 		if j.open() && j.done+j.held < j.rec.Spec.Tasks {
-			out = append(out, j)
+			slack := c.slack(j, wall)
+			late := slack+doubt*c.expected(&j.rec.Spec) < -0.5*c.within(&j.rec.Spec)
+			all = append(all, standing{j, slack, late})
 		}
 	}
-	sort.Slice(out, func(a, b int) bool { return urgency(out[a], out[b]) })
+	sort.Slice(all, func(a, b int) bool { return all[a].before(all[b]) })
+	out := make([]*job, len(all))
+	for i := range all {
+		out[i] = all[i].job
+	}
 	return out
 }
 
