--- /dev/null
+++ b/internal/coordination/plan_test.go
@@ -0,0 +1,131 @@
+package coordination
+
+import (
+	"reflect"
+	"testing"
+
+	"pipitgap/internal/bookkeeping"
+)
+
+func demandOf(cpus float64, count int, spot, service bool) *demand {
+	s := &bookkeeping.Spec{CPUs: cpus, MemoryGB: 1, Spot: spot, Service: service, EstimateS: 10}
+	return &demand{spec: s, need: amount{cpus: cpus, mem: 1}, count: count, lasts: 10, slack: 20}
+}
+
+func binOf(zone string, spot bool, free float64) *bin {
+	size := amount{cpus: 8, mem: 64}
+	return &bin{typ: "m8", zone: zone, spot: spot, size: size, free: amount{cpus: free, mem: 64}, rate: 8, boot: 10, busy: 10 * (8 - free)}
+}
+
+// TestPlan: what is rented for which demands, given room, open requests and
+// offers.
+func TestPlan(t *testing.T) {
+	offers := func() []*offerInfo {
+		var out []*offerInfo
+		for _, z := range []string{"a", "b"} {
+			out = append(out,
+				&offerInfo{offer: offer{"m8", z, false}, capacity: amount{cpus: 8, mem: 64}, price: 1, have: map[string]int{"a": 1}[z]},
+				&offerInfo{offer: offer{"m8", z, true}, capacity: amount{cpus: 8, mem: 64}, price: 0.4, have: map[string]int{"a": 1}[z]},
+				&offerInfo{offer: offer{"m16", z, false}, capacity: amount{cpus: 16, mem: 128}, price: 1.9, have: map[string]int{"a": 1}[z]})
+		}
+		return out
+	}
+	cases := []struct {
+		name string
+		ds   []*demand
+		bins []*bin
+		part float64
+		want map[offer]int
+	}{
+		{"no demand", nil, nil, 0, map[offer]int{}},
+		{"room is there", []*demand{demandOf(2, 4, false, false)}, []*bin{binOf("a", false, 8)}, 0, map[offer]int{}},
+		{"an open request is supply", []*demand{demandOf(8, 1, false, true)}, []*bin{binOf("a", false, 8)}, 0, map[offer]int{}},
+		{"cheapest for what is used, fewest in the zone", []*demand{demandOf(4, 2, false, true)}, nil, 0, map[offer]int{{"m8", "b", false}: 1}},
+		{"larger when filled", []*demand{demandOf(16, 1, false, true)}, nil, 0, map[offer]int{{"m16", "b", false}: 1}},
+		{"spot where allowed", []*demand{demandOf(8, 2, true, false)}, nil, 0, map[offer]int{{"m8", "b", true}: 1, {"m8", "a", true}: 1}},
+		{"what fits nothing isn't rented for", []*demand{demandOf(64, 1, false, true)}, nil, 0, map[offer]int{}},
+		// Arrays that may use spot must not fill the ordinary room of services.
+		{"strict demands first", []*demand{demandOf(4, 2, true, false), demandOf(1, 8, false, true)},
+			[]*bin{binOf("a", false, 8), binOf("a", true, 8)}, 0, map[offer]int{}},
+		{"room freed in time is supply", []*demand{demandOf(8, 1, true, false)}, []*bin{binOf("a", true, 0)}, 2, map[offer]int{}},
+		{"not for services", []*demand{demandOf(8, 1, false, true)}, []*bin{binOf("a", false, 0)}, 2, map[offer]int{{"m8", "b", false}: 1}},
+		{"not beyond the horizon", []*demand{demandOf(8, 1, true, false)}, []*bin{binOf("a", true, 0)}, 0.5, map[offer]int{{"m8", "b", true}: 1}},
+	}
+	for _, tc := range cases {
+		largestFirst(tc.ds)
+		fill(tc.ds, tc.bins)
+		absorb(tc.ds, tc.bins, tc.part, false)
+		got := map[offer]int{}
+		plan(tc.ds, offers(), 10, nil, got)
+		if !reflect.DeepEqual(got, tc.want) {
+			t.Errorf("%s: %v, want %v", tc.name, got, tc.want)
+		}
+	}
+}
+
+// TestHeadroom: it is met by free room, by what services may preempt, and by what
+// is only meant to run on requested machines. Else each pass rented once more.
+func TestHeadroom(t *testing.T) {
+	cases := []struct {
+		name string
+		ds   []*demand
+		bins []*bin
+		want int // left to be rented for
+	}{
+		{"free room", nil, []*bin{binOf("a", false, 8)}, 0},
+		{"only spot room", nil, []*bin{binOf("a", true, 8)}, 2},
+		{"arrays meant for a requested machine", []*demand{demandOf(2, 4, true, false)}, []*bin{binOf("a", false, 8)}, 0},
+		{"services hold it", []*demand{demandOf(8, 1, false, true)}, []*bin{binOf("a", false, 8)}, 2},
+	}
+	for _, tc := range cases {
+		fill(tc.ds, tc.bins)
+		reserve := []*demand{demandOf(2, 2, false, true)}
+		holdRoom(reserve, tc.bins, map[string]bool{})
+		if reserve[0].count != tc.want {
+			t.Errorf("%s: %d left, want %d", tc.name, reserve[0].count, tc.want)
+		}
+	}
+}
+
+// TestOrder: higher priority, then least slack, then what is long past its aim.
+func TestOrder(t *testing.T) {
+	mk := func(id string, priority int, at int64) *job {
+		return &job{id: id, rec: bookkeeping.OpenJob{At: at, Spec: bookkeeping.Spec{Priority: priority}}}
+	}
+	cases := []struct {
+		name string
+		a, b standing
+	}{
+		{"priority", standing{job: mk("b", 3, 9), slack: 90}, standing{job: mk("a", 2, 1), slack: 1}},
+		{"priority, though late", standing{job: mk("b", 3, 9), late: true}, standing{job: mk("a", 2, 1)}},
+		{"least slack", standing{job: mk("b", 1, 9), slack: 1}, standing{job: mk("a", 1, 1), slack: 2}},
+		{"just late before long late", standing{job: mk("b", 1, 9), slack: -5}, standing{job: mk("a", 1, 1), slack: -50, late: true}},
+		{"oldest of the long late", standing{job: mk("b", 1, 1), slack: -5, late: true}, standing{job: mk("a", 1, 2), slack: -50, late: true}},
+		{"id at last", standing{job: mk("a", 1, 1)}, standing{job: mk("b", 1, 1)}},
+	}
+	for _, tc := range cases {
+		if !tc.a.before(tc.b) || tc.b.before(tc.a) {
+			t.Error(tc.name)
+		}
+	}
+}
+
+// TestHome: machines spread over the live controllers, and only those of one that
+// has gone move.
+func TestHome(t *testing.T) {
+	all := []string{"n-0", "n-1", "n-2"}
+	count := map[string]int{}
+	for i := 0; i < 300; i++ {
+		id := taskRef{"i", i}.String()
+		h := home(id, all)
+		count[h]++
+		if h != "n-1" && home(id, []string{"n-0", "n-2"}) != h {
+			t.Fatalf("%s moved from %s", id, h)
+		}
+	}
+	for _, n := range all {
+		if count[n] < 60 {
+			t.Errorf("%s is home to %d of 300", n, count[n])
+		}
+	}
+}
--- a/internal/coordination/service_test.go
+++ b/internal/coordination/service_test.go
@@ -97,6 +97,10 @@
 	for i, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			c := newCluster(t, uint64(100+i)).steady()
+			for k := 0; k < 4; k++ { // what is there needn't be what is allowed
+				c.cloud.Add("m8", []string{"a", "b"}[k%2], k < 2)
+			}
+			c.sim.Run(15 * sec)
 			id := c.submit(0, tc.job)
 			want := tc.job["pips"].(int)
 			if !c.sim.RunUntil(120*sec, func() bool { return c.fleet.Running(id) == want }) {
@@ -460,6 +464,270 @@
 		}
 	}
 	c.sim.Run(10 * sec)
+	task := c.nodes["n-0"].core.view.jobs[id].rows[0].rec.Tasks[0]
+	if task.State != bookkeeping.TaskAssigned || task.Attempt != 1 {
+		t.Errorf("the store holds %+v", task)
+	}
+	c.rules()
+}
+
+// TestNamesOfRequests: a new leader's requests have names of their own; the cloud
+// would answer a used one with the old machines.
+func TestNamesOfRequests(t *testing.T) {
+	c := newCluster(t, 16).steady()
+	for i := 0; i < 3; i++ {
+		id := c.submit(0, jobOf{"shape": "daemon", "cores": 16.0})
+		if !c.sim.RunUntil(60*sec, func() bool { return c.fleet.Running(id) == 1 }) {
+			t.Fatalf("after %d changes of leader a service finds no machine", i)
+		}
+		old := c.leader().name
+		c.kill(old)
+		c.sim.Run(10 * sec)
+		c.start(old)
+		c.sim.Run(3 * sec)
+	}
+	c.rules()
+}
+
+// TestProof: what a report proves, and what must not be said to a worker.
+func TestProof(t *testing.T) {
+	const base = 3 << 32
+	ref := taskRef{"j-1", 0}
+	exited := protocol.TaskReport{Task: "j-1/0", Attempt: 1, State: protocol.StateExited, Cause: protocol.CauseDone}
+	running := protocol.TaskReport{Task: "j-1/0", Attempt: 1, State: protocol.StateRunning}
+	cases := []struct {
+		name      string
+		token     uint64
+		tasks     []protocol.TaskReport
+		cancelled bool
+		killed    uint64 // token of an earlier kill
+		settled   bool
+		says      string // the command that follows, if any
+	}{
+		{"exited", base, []protocol.TaskReport{exited}, false, 0, true, ""},
+		{"exited, by a report from before our claim", base - 1, []protocol.TaskReport{exited}, false, 0, false, ""},
+		{"running", base, []protocol.TaskReport{running}, false, 0, false, ""},
+		{"absent", base, nil, false, 0, false, protocol.CmdRun},
+		{"cancelled, running", base, []protocol.TaskReport{running}, true, 0, false, protocol.CmdKill},
+		{"cancelled, absent, not yet told", base, nil, true, 0, false, protocol.CmdKill},
+		{"cancelled, absent, kill not seen", base + 4, nil, true, base + 5, false, protocol.CmdKill},
+		{"cancelled, absent after the kill", base + 5, nil, true, base + 5, true, ""},
+	}
+	for _, tc := range cases {
+		c := newCluster(t, 17)
+		c.start("n-0")
+		core := c.nodes["n-0"].core
+		status := bookkeeping.Open
+		if tc.cancelled {
+			status = bookkeeping.Cancelled
+		}
+		row := &bookkeeping.Row{Owner: "n-0", Tasks: []bookkeeping.Task{{State: bookkeeping.TaskAssigned, Attempt: 1, Machine: "i-1"}}}
+		core.view.put(bookkeeping.Key(bookkeeping.KindOpen, "j-1"), protocol.MustMarshal(&bookkeeping.OpenJob{
+			Spec: bookkeeping.Spec{Tasks: 1, CPUs: 1}, Status: status, Owner: "n-0", Chunk: 32}), 5)
+		core.view.put(bookkeeping.RowKey("j-1", 0), row.Encode(), 6)
+		core.view.put(bookkeeping.Key(bookkeeping.KindMachine, "i-1"), protocol.MustMarshal(&bookkeeping.Machine{
+			Owner: "n-0", Incarnation: core.inc, Claim: 3, State: bookkeeping.MachineOpen}), 7)
+		core.view.watched = 7
+		m := core.view.machines["i-1"]
+		if tc.killed != 0 {
+			m.w.told(attemptKey{ref, 1}).kill = tc.killed
+		}
+		core.apply(m, &protocol.Report{Machine: "i-1", Session: 1, Seq: 1, Token: tc.token, Tasks: tc.tasks})
+		if got := core.settled(core.view.jobs["j-1"], ref, 1); got != tc.settled {
+			t.Errorf("%s: settled %v", tc.name, got)
+		}
+		said := ""
+		for _, cmd := range core.commands(m, sec) {
+			said += cmd.Op
+		}
+		if said != tc.says {
+			t.Errorf("%s: says %q, want %q", tc.name, said, tc.says)
+		}
+		// Once a release is on its way the attempt must not be started again,
+		// though the worker, in a new session, doesn't have it.
+		core.settle(core.view.jobs["j-1"], ref, outcome{1, "i-1", outRetry})
+		core.apply(m, &protocol.Report{Machine: "i-1", Session: 2, Seq: 1, Token: base + 9})
+		for _, cmd := range core.commands(m, 10*sec) {
+			if cmd.Op == protocol.CmdRun {
+				t.Errorf("%s: started again while its release is on its way", tc.name)
+			}
+		}
+	}
+}
+
+// TestPreemption: a service gets room at once from work of lower priority, and
+// from nothing else.
+func TestPreemption(t *testing.T) {
+	cases := []struct {
+		name        string
+		array, serv string // ranks
+		want        bool
+	}{
+		{"prod over standard", "standard", "prod", true},
+		{"standard over best effort", "best_effort", "standard", true},
+		{"not over its like", "high", "high", false},
+		{"not over higher", "prod", "high", false},
+	}
+	for i, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newCluster(t, uint64(500+i))
+			clear(c.cloud.Capacity)
+			c.cloud.Capacity[standin.Offer("m8", "a", false)] = 2
+			c.steady()
+			array := c.submit(200*sec, jobOf{"pips": 8, "rank": tc.array})
+			if !c.sim.RunUntil(60*sec, func() bool { return c.fleet.Running(array) == 8 }) {
+				t.Fatalf("array: %d run", c.fleet.Running(array))
+			}
+			serv := c.submit(0, jobOf{"shape": "daemon", "cores": 4.0, "rank": tc.serv})
+			if got := c.sim.RunUntil(5*sec, func() bool { return c.fleet.Running(serv) == 1 }); got != tc.want {
+				t.Errorf("service runs: %v", got)
+			}
+			if n := c.fleet.Running(array); tc.want && n != 6 || !tc.want && n != 8 {
+				t.Errorf("%d tasks of the array left", n)
+			}
+			c.rules()
+		})
+	}
+}
+
+// TestStartInCloudOutage: controllers that start while the cloud is out know the
+// machine types from the store; they accept, and place on what is there.
+func TestStartInCloudOutage(t *testing.T) {
+	c := newCluster(t, 11).steady()
+	first := c.submit(0, jobOf{"shape": "daemon"})
+	if !c.sim.RunUntil(60*sec, func() bool { return c.fleet.Running(first) == 1 }) {
+		t.Fatal("no machine is up")
+	}
+	c.cloud.Trouble = true
+	c.kill(c.names...)
+	c.sim.Run(3 * sec)
+	c.start(c.names...)
+	c.sim.Run(3 * sec)
+	id := c.submit(2*sec, jobOf{"pips": 2})
+	c.finished(id, 30*sec)
+	c.rules()
+}
+
+// TestRetired: an old job's answer stays right after restarts, when nothing in
+// memory knows it any more.
+func TestRetired(t *testing.T) {
+	c := newCluster(t, 12).steady()
+	done := c.submit(sec, jobOf{})
+	gone := c.submit(0, jobOf{"shape": "daemon"})
+	c.finished(done, 60*sec)
+	c.ask("n-0", "POST", "/v2/runs/"+gone+"/abort", nil)
+	c.sim.Run(10 * sec)
+	for round := 0; round < 3; round++ {
+		c.kill(c.names...)
+		c.sim.Run(sec)
+		c.start(c.names...)
+		c.sim.Run(3 * sec)
+		for _, n := range c.names {
+			if code, st := c.status(n, done); code != 200 || st.Status != protocol.JobDone {
+				t.Errorf("done job: %d %+v", code, st)
+			}
+			if code, st := c.status(n, gone); code != 200 || st.Status != protocol.JobCancelled {
+				t.Errorf("cancelled job: %d %+v", code, st)
+			}
+			r := c.ask(n, "POST", "/v2/runs/"+done+"/abort", nil)
+			var a protocol.Accepted
+			_ = protocol.Unmarshal(r.Body, &a)
+			if r.Status != 200 || a.Status != protocol.JobDone {
+				t.Errorf("abort of a done job: %d %+v", r.Status, a)
+			}
+		}
+	}
+}
+
+// TestFlood: past what the store lets through, every request has an immediate
+// answer with a time to come back, and what waits stays bounded.
+func TestFlood(t *testing.T) {
+	c := newCluster(t, 13).steady()
+	core := c.nodes["n-0"].core
+	answers := map[int]int{}
+	late := 0
+	for i := 0; i < 3000; i++ {
+		id, j := c.spec(nil)
+		begun := c.sim.Now()
+		back := func(r Reply) {
+			answers[r.Status]++
+			if (r.Status == 429 || r.Status == 503) && r.RetryAfter < 1 {
+				t.Error("no time to come back")
+			}
+			if c.sim.Now()-begun > 3*sec {
+				late++
+			}
+		}
+		c.request("n-0", "POST", "/v2/runs", protocol.MustMarshal(j), back)
+		c.request("n-0", "GET", "/v2/runs/"+id, nil, back)
+		if n := core.queue.Waiting(bookkeeping.RankUser); n > core.mostUserCalls()+1 {
+			t.Fatalf("%d calls wait", n)
+		}
+		if len(core.confirms) > mostConfirms {
+			t.Fatalf("%d polls wait", len(core.confirms))
+		}
+	}
+	c.sim.Run(10 * sec)
+	total := 0
+	for _, n := range answers {
+		total += n
+	}
+	if total != 6000 || answers[201] == 0 || answers[429] == 0 || late > 0 {
+		t.Errorf("answers %v, %d late", answers, late)
+	}
+}
+
+// TestOutageAnswers: in an outage of the store users are told at once, a common
+// outage leaves every node healthy, one that is refused alone says so.
+func TestOutageAnswers(t *testing.T) {
+	c := newCluster(t, 14).steady()
+	_, j := c.spec(nil)
+	body := protocol.MustMarshal(j)
+	c.store.Outage(20 * sec)
+	c.sim.Run(5 * sec)
+	for _, n := range c.names {
+		if r := c.ask(n, "POST", "/v2/runs", body); r.Status != 503 || r.RetryAfter < 1 {
+			t.Errorf("submission to %s in an outage: %+v", n, r)
+		}
+		if r := c.ask(n, "GET", "/healthz", nil); r.Status != 200 {
+			t.Errorf("%s is unhealthy in a common outage", n)
+		}
+	}
+	c.sim.Run(20 * sec)
+	c.store.Refused["n-1"] = true
+	c.sim.Run(6 * sec)
+	for n, want := range map[string]int{"n-0": 200, "n-1": 503, "n-2": 200} {
+		if r := c.ask(n, "GET", "/healthz", nil); r.Status != want {
+			t.Errorf("%s: %d, want %d", n, r.Status, want)
+		}
+	}
+}
+
+// TestLateAcceptance: a submission repeated on another node while the first one's
+// commit is applied late is one job.
+func TestLateAcceptance(t *testing.T) {
+	c := newCluster(t, 15).steady()
+	id, j := c.spec(nil)
+	c.fleet.Jobs[id] = standin.JobInfo{Team: "free", CPUs: 2, Run: 2 * sec}
+	body := protocol.MustMarshal(j)
+	first := true
+	c.store.Delay = func(txn *protocol.Txn) micros.T {
+		for _, op := range txn.Then {
+			if first && op.Put == bookkeeping.Key(bookkeeping.KindJob, id) {
+				first = false
+				return 6 * sec
+			}
+		}
+		return 0
+	}
+	if r := c.ask("n-0", "POST", "/v2/runs", body); r.Status != 503 {
+		t.Errorf("a commit without an answer is told as %d", r.Status)
+	}
+	if r := c.ask("n-1", "POST", "/v2/runs", body); r.Status != 201 {
+		t.Errorf("the retry: %d", r.Status)
+	}
+	c.sim.Run(8 * sec)
+	c.finished(id, 60*sec)
 	if n := c.fleet.Starts[id+"/0"]; n != 1 {
 		t.Errorf("started %d times", n)
 	}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -11,11 +11,14 @@
 // Bounds of what waits for the store on behalf of users; past them the answer
 // is an immediate 429.
 const (
-	mostUserCalls = 64
-	mostConfirms  = 512
-	mostOpenJobs  = 5000
+	mostConfirms = 512
+	mostOpenJobs = 5000
 )
 
+// mostUserCalls bounds what waits in the queue to well under the time that a user
+// waits for an answer.
+func (c *Core) mostUserCalls() int { return max(4, int(c.queue.Writes.Rate*0.75)) }
+
 // confirm is an answer that waits until the store has confirmed the mirror.
 type confirm struct {
 	cond protocol.Cond
@@ -135,7 +138,7 @@
 		return c.later(503, "records not read yet"), true
 	case c.storeDown:
 		return c.later(503, "state service out of reach"), true
-	case c.queue.Waiting(bookkeeping.RankUser) >= mostUserCalls:
+	case c.queue.Waiting(bookkeeping.RankUser) >= c.mostUserCalls():
 		return c.later(429, "too many requests"), true
 	}
 	return Reply{}, false
