--- a/internal/coordination/service_test.go
+++ b/internal/coordination/service_test.go
@@ -460,7 +460,9 @@
 		old.Seq = 1
 		old.Tasks = []protocol.TaskReport{{Task: id + "/0", Attempt: 1, State: protocol.StateExited, Cause: protocol.CauseError}}
 		for _, n := range c.names {
-			c.ask(n, "POST", "/checkin", protocol.MustMarshal(&old))
+			if c.nodes[n].core.view.machines[wid].w != nil {
+				c.ask(n, "POST", "/checkin", protocol.MustMarshal(&old))
+			}
 		}
 	}
 	c.sim.Run(10 * sec)
@@ -486,9 +488,35 @@
 		c.start(old)
 		c.sim.Run(3 * sec)
 	}
+	if c.cloud.Repeated > 0 {
+		t.Errorf("%d requests under a name that had been answered", c.cloud.Repeated)
+	}
 	c.rules()
 }
 
+// TestAbortOfDone: an abort decided on an outdated mirror must not cancel a job
+// that has been called done.
+func TestAbortOfDone(t *testing.T) {
+	c := newCluster(t, 18).steady()
+	id := c.submit(sec, jobOf{})
+	core := c.nodes["n-0"].core
+	c.sim.Run(100 * micros.Millisecond)
+	rec, version := core.view.jobs[id].rec, core.view.jobs[id].version
+	c.finished(id, 60*sec)
+	core.cancel(id, rec, version, 4, func(r Reply) {
+		var a protocol.Accepted
+		_ = protocol.Unmarshal(r.Body, &a)
+		if a.Status != protocol.JobDone {
+			t.Errorf("told %+v", a)
+		}
+	})
+	c.sim.Run(2 * sec)
+	var kept bookkeeping.Answer
+	if !c.store.Read(bookkeeping.Key(bookkeeping.KindJob, id), &kept) || kept.Status != bookkeeping.Done {
+		t.Errorf("the store holds %+v", kept)
+	}
+}
+
 // TestProof: what a report proves, and what must not be said to a worker.
 func TestProof(t *testing.T) {
 	const base = 3 << 32
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -25,6 +25,7 @@
 	Machines map[string]*Rented
 	Calls    map[protocol.CloudOp]int
 	Names    map[string][]string
+	Repeated int // rentals under a name that had been answered
 	next     int
 	OnUp     func(*Rented)
 	OnGone   func(*Rented)
@@ -75,6 +76,7 @@
 	case protocol.CloudRent:
 		q := &call.Rent
 		if ids, ok := c.Names[q.Name]; ok {
+			c.Repeated++
 			return protocol.CloudResult{Outcome: protocol.OK, Rented: ids}, false
 		}
 		key := Offer(q.Type, q.Zone, q.Spot)
