--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -213,6 +213,9 @@
 	case bookkeeping.KindMember:
 		if c.isLive(name) {
 			delete(c.deadSince, name)
+			c.log.Info("controller is a member", "member", name)
+		} else {
+			c.log.Info("controller is no member any more", "member", name)
 		}
 	}
 	if kind == bookkeeping.KindOpen {
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -81,16 +81,20 @@
 	job   *job
 	slack float64 // seconds that it may still wait
 	late  bool    // long past its aim
+	owed  bool    // its team is within its guarantee
 }
 
-// before orders jobs: higher priority first; of the same priority the least slack
-// first; last those that are long past their aim, the oldest of them first. Past what can be done, going by the deadline alone would
+// before orders jobs: higher priority first; of the same priority those first
+// whose team doesn't yet use its guarantee, then the least slack; last those that are long past their aim, the oldest of them first. Past what can be done, going by the deadline alone would
 // spend all machines on jobs that are late already and make every other late.
 func (a standing) before(b standing) bool {
 	x, y := a.job, b.job
 	if x.rec.Spec.Priority != y.rec.Spec.Priority {
 		return x.rec.Spec.Priority > y.rec.Spec.Priority
 	}
+	if a.owed != b.owed {
+		return a.owed
+	}
 	if a.late != b.late {
 		return b.late
 	}
@@ -111,7 +115,7 @@
 		if j.open() && j.done+j.held < j.rec.Spec.Tasks {
 			slack := c.slack(j, wall)
 			late := slack+doubt*c.expected(&j.rec.Spec) < -0.5*c.within(&j.rec.Spec)
-			all = append(all, standing{j, slack, late})
+			all = append(all, standing{j, slack, late, c.owed(j)})
 		}
 	}
 	sort.Slice(all, func(a, b int) bool { return all[a].before(all[b]) })
@@ -122,6 +126,13 @@
 	return out
 }
 
+// owed tells whether one more task of a job lies within its team's guarantee.
+func (c *Core) owed(j *job) bool {
+	team, _ := c.team(j.rec.Spec.Team)
+	use := c.view.teamUse[j.rec.Spec.Team].plus(j.need, 1)
+	return use.cpus <= team.CPUs+slack && use.gpus <= team.GPUs+slack
+}
+
 // rowOwner names the part that places a chunk's pending tasks.
 func rowOwner(j *job, chunk int) string {
 	if r := j.rows[chunk]; r != nil && r.rec != nil {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -42,6 +42,8 @@
 	since        map[attemptKey]micros.T // first seen running
 	failedJobs   map[string]bool
 	failed       int
+	drag         float64 // how much longer than expected tasks run here: log, smoothed
+	samples      int
 	reserved     amount
 }
 
@@ -628,6 +630,7 @@
 	switch t.Cause {
 	case protocol.CauseDone:
 		if at, ok := w.since[attemptKey{ref, uint32(t.Attempt)}]; ok && !j.rec.Spec.Service {
+			w.measure((c.now() - at).Seconds(), c.expected(&j.rec.Spec))
 			c.learn(&j.rec.Spec, (c.now() - at).Seconds())
 		}
 		w.failed, w.failedJobs = 0, map[string]bool{}
@@ -759,15 +762,46 @@
 		case w.faulty():
 			c.remove(m, "faulty")
 		case w.noticed && m.rec.State != bookkeeping.MachineDraining:
+			c.log.Info("machine will be taken back", "machine", id, "tasks", len(m.tasks))
 			c.setState(m, bookkeeping.MachineDraining)
+			c.leave(m)
 		}
 	}
 	c.claimMany(heirless)
 }
 
 // faulty: tasks of several jobs, or one job again and again, failed on it and
-// nothing completed in between.
-func (w *worker) faulty() bool { return len(w.failedJobs) >= 2 || w.failed >= 4 }
+// nothing completed in between; or what it runs takes several times as long as
+// expected, again and again.
+func (w *worker) faulty() bool {
+	const samples, drag = 6, 1.1 // three times as long
+	return len(w.failedJobs) >= 2 || w.failed >= 4 || w.samples >= samples && w.drag > drag
+}
+
+// measure follows how fast the machine is. Single estimates are wrong by half
+// or more; a smoothed ratio of several tasks is not.
+func (w *worker) measure(ran, expected float64) {
+	if ran <= 0 || expected <= 0 {
+		return
+	}
+	w.samples++
+	w.drag += (math.Log(ran/expected) - w.drag) / float64(min(w.samples, 8))
+}
+
+// leave stops what gains by it before a noticed machine goes: services start
+// elsewhere now rather than later, checkpointed work is saved.
+func (c *Core) leave(m *machine) {
+	w := m.w
+	for ref, attempt := range m.tasks {
+		j := c.view.jobs[ref.job]
+		if j != nil && j.open() && (j.rec.Spec.Service || j.rec.Spec.CheckpointS > 0) {
+			w.stopping[attemptKey{ref, attempt}] = true
+		}
+	}
+	if len(w.stopping) > 0 {
+		c.sync(m)
+	}
+}
 
 // inherits tells whether we are to claim a machine whose owner has gone: an
 // earlier incarnation of ours, or another controller and we are its home.
