--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -76,6 +76,7 @@
 	watchGap   micros.T
 	watchAt    micros.T
 	watching   bool
+	watchOKAt  micros.T // last answer of the watch
 	lease      uint64
 	leaseSent  micros.T // send time of the last touch that succeeded
 	leaseTTL   micros.T
@@ -111,6 +112,7 @@
 	claiming   map[string]bool
 	stateBusy  map[string]bool // machines with a change of state in flight
 	preempting map[string]*preemption
+	ghosts     map[string]micros.T // machines proven gone, and when
 	slowAt     micros.T
 	cloudGate  bookkeeping.Bucket
 	stats      stats
@@ -129,6 +131,7 @@
 		rows: map[string]*rowState{}, teamBusy: map[string]bool{}, jobState: map[string]*jobState{},
 		outcomes: map[string]map[int]outcome{}, redirected: map[string]micros.T{}, claiming: map[string]bool{},
 		stateBusy: map[string]bool{}, preempting: map[string]*preemption{}, bias: map[string]float64{},
+		ghosts: map[string]micros.T{},
 	}
 	c.all = append(c.all, cfg.Node)
 	for _, p := range cfg.Known {
@@ -240,6 +243,12 @@
 			c.ownership(m)
 		}
 	}
+	// These records go only once the machine is proven gone. A report of it that
+	// was held back on its way must not bring it to life again: tasks were
+	// assigned to such a ghost.
+	if (kind == bookkeeping.KindMachine || kind == bookkeeping.KindRemoval) && c.view.versionOf(bookkeeping.Key(kind, name)) == 0 {
+		c.ghosts[name] = c.now()
+	}
 }
 
 // ---- calls of the store ----
@@ -403,6 +412,7 @@
 }
 
 func (c *Core) becomeReady() {
+	c.watchOKAt = c.now()
 	if c.types == nil && len(c.view.types) > 0 {
 		// The cloud may be out: what was known of it before still holds.
 		c.types = map[string]protocol.MachineType{}
@@ -437,6 +447,7 @@
 		switch r.Outcome {
 		case protocol.OK:
 			c.noteStore(r.Outcome)
+			c.watchOKAt = c.now()
 			c.view.applyEvents(r.Events, r.Revision)
 			if !c.ready && c.view.watched >= c.loadedUpTo {
 				c.becomeReady()
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -493,7 +493,11 @@
 			c.leaderCommit(bookkeeping.RankRest, key, protocol.Txn{
 				If:   []protocol.Cond{{Key: key, Version: a.version}},
 				Then: append([]protocol.Op{{Delete: key}}, more...),
-			}, nil)
+			}, func(r protocol.StoreResult) {
+				if r.Outcome == protocol.OK && len(more) > 0 {
+					c.log.Info("machines not ready in time, given back", "ask", name, "machines", len(more), "type", a.rec.Type, "zone", a.rec.Zone)
+				}
+			})
 		}
 		switch a.rec.Phase {
 		case bookkeeping.AskPending:
@@ -522,7 +526,6 @@
 					ops = append(ops, protocol.Op{Put: bookkeeping.Key(bookkeeping.KindRemoval, id),
 						Value: protocol.MustMarshal(&bookkeeping.Removal{Reason: "not ready in time"})})
 				}
-				c.log.Info("machines not ready in time, given back", "ask", name, "machines", missing, "type", a.rec.Type, "zone", a.rec.Zone)
 				if len(ops) == len(missing) {
 					dropAsk(ops...)
 					continue
--- a/internal/coordination/service_test.go
+++ b/internal/coordination/service_test.go
@@ -583,6 +583,31 @@
 	}
 }
 
+// TestGhost: a report of a machine that was deleted, held back on its way, must
+// not bring the machine to life again.
+func TestGhost(t *testing.T) {
+	c := newCluster(t, 19)
+	c.set.ScaleDownDelay = 0
+	c.steady()
+	id := c.submit(sec, jobOf{})
+	c.sim.Run(20 * sec)
+	c.finished(id, 60*sec)
+	w := c.fleet.Workers[sortedKeys(c.fleet.Workers)[0]]
+	late := protocol.MustMarshal(w.Body())
+	if !c.sim.RunUntil(60*sec, func() bool { return c.cloud.Count() == 0 }) {
+		t.Fatal("the machine was not given back")
+	}
+	c.sim.Run(5 * sec)
+	for _, n := range c.names {
+		if r := c.ask(n, "POST", "/checkin", late); r.Status != 503 {
+			t.Errorf("%s answers %d", n, r.Status)
+		}
+	}
+	if keys := c.store.Keys(bookkeeping.Root + "machine"); len(keys) > 0 {
+		t.Errorf("claimed: %v", keys)
+	}
+}
+
 // TestPreemption: a service gets room at once from work of lower priority, and
 // from nothing else.
 func TestPreemption(t *testing.T) {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -11,6 +11,9 @@
 	"pipitgap/internal/protocol"
 )
 
+// ghostsFor is how long a deleted machine's late reports are still expected.
+const ghostsFor = 10 * micros.Minute
+
 // attemptKey names an attempt on a machine.
 type attemptKey struct {
 	ref     taskRef
@@ -131,6 +134,10 @@
 		answer(errorReply(503, "records not read yet"))
 		return
 	}
+	if _, gone := c.ghosts[rep.Machine]; gone {
+		answer(errorReply(503, "machine has been given back"))
+		return
+	}
 	m := c.view.machines[rep.Machine]
 	if m != nil && m.version != 0 {
 		if m.rec.State == bookkeeping.MachineGone {
@@ -699,9 +706,16 @@
 // tendMachines looks after the machines that are ours: leases that have ended,
 // silence, notices, faults.
 func (c *Core) tendMachines(now micros.T) {
-	if _, alone := c.refusedAlone(now); alone || c.storeDown {
+	// Without a fresh mirror a claim may have moved on long ago: after a cut of our
+	// own all machines look silent, and are no longer ours.
+	if _, alone := c.refusedAlone(now); alone || c.storeDown || now-c.watchOKAt > watchBlock+micros.Second {
 		return
 	}
+	for id, at := range c.ghosts {
+		if now-at > ghostsFor {
+			delete(c.ghosts, id)
+		}
+	}
 	lease := micros.FromSeconds(c.cfg.Facts.Workers.LeaseS)
 	report := micros.FromSeconds(c.cfg.Facts.Workers.ReportS)
 	proof := lease + lease/500 + micros.Second
