Services make room beside their image when that costs less than the fetch

Cause: logger-intake missed 3 s on fetches of 2 to 6 GB while machines with the image were full of arrays.

--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -254,6 +254,11 @@
 					roomless = true
 					break
 				}
+				if spec.Service && !cd.m.images[spec.Image] && !c.waited(j, wall) && c.preempt(j, 1, zones, true, now) {
+					// Room is being made beside the image: sooner than a fetch.
+					limited = true
+					break
+				}
 				if cd.closed {
 					cd.closed = false
 					rec := cd.m.rec
@@ -274,7 +279,7 @@
 			teamLeft[spec.Team] = left
 			handTo := ""
 			if roomless && ours && spec.Service {
-				if !c.preempt(j, pending-placed, zones, now) && now-rs.handedAt > handPause {
+				if !c.preempt(j, pending-placed, zones, false, now) && now-rs.handedAt > handPause {
 					handTo = parts.mostVictims(j, c.node)
 				}
 			}
@@ -313,6 +318,10 @@
 	}
 }
 
+// waited tells whether a job has waited too long to go on looking for a better
+// place.
+func (c *Core) waited(j *job, wall int64) bool { return wall-j.rec.At > int64(2*micros.Second) }
+
 // mayTake tells whether we may place tasks of another part's row: that part has
 // gone, has no room for them, or hasn't used what it seems to have. The row
 // becomes ours in the commit that assigns. That hands tasks on in one write, at
@@ -542,8 +551,9 @@
 	best, most := c.node, 0
 	for _, score := range []func(string) int{
 		func(n string) int { return p.withImage(s, n) },
+		func(n string) int { return p.victims(s, n, true) },
 		func(n string) int { return p.room(s, n) },
-		func(n string) int { return p.victims(s, n) },
+		func(n string) int { return p.victims(s, n, false) },
 	} {
 		for _, n := range append([]string{c.node}, c.live()...) {
 			if r := score(n); r > most {
@@ -573,15 +583,15 @@
 }
 
 // victims counts the machines of a part on which a service would fit if tasks
-// of lower priority were stopped.
-func (p *partRooms) victims(s *bookkeeping.Spec, part string) int {
+// of lower priority were stopped; with beside, only those that have its image.
+func (p *partRooms) victims(s *bookkeeping.Spec, part string, beside bool) int {
 	if !s.Service {
 		return 0
 	}
 	need := amount{s.CPUs, s.GPUs, s.MemoryGB}
 	n := 0
 	for _, cd := range p.parts[part] {
-		if !mayRun(s, &cd.m.rec) {
+		if !mayRun(s, &cd.m.rec) || beside && !cd.m.images[s.Image] {
 			continue
 		}
 		free := cd.free
@@ -604,7 +614,7 @@
 		if n == not {
 			continue
 		}
-		if r := p.victims(&j.rec.Spec, n); r > most {
+		if r := p.victims(&j.rec.Spec, n, false); r > most {
 			most, part = r, n
 		}
 	}
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -11,6 +11,10 @@
 // more is made.
 const preemptWait = 3 * micros.Second
 
+// fetchWorth is how many CPU seconds of lost work for each of its CPUs a service
+// is worth that starts beside its image rather than fetching it.
+const fetchWorth = 24
+
 // preemption is the room being made for a job.
 type preemption struct {
 	count int
@@ -27,8 +31,9 @@
 // preempt stops tasks of lower priority so that up to want tasks of a service
 // get room on our machines; the cheapest loss first. Only services preempt: an
 // array gains little by it and the work thrown away is paid for. It tells
-// whether room is being made.
-func (c *Core) preempt(j *job, want int, zones *zoneRule, now micros.T) bool {
+// whether room is being made. With beside, only machines that have the job's
+// image count, and only a small loss is worth it.
+func (c *Core) preempt(j *job, want int, zones *zoneRule, beside bool, now micros.T) bool {
 	p := c.preempting[j.id]
 	if p != nil && now < p.until {
 		return true
@@ -50,6 +55,9 @@
 			if !m.images[j.rec.Spec.Image] {
 				loss += 8 * j.rec.Spec.ImageGB
 			}
+			if beside && (!m.images[j.rec.Spec.Image] || loss > fetchWorth*j.need.cpus) {
+				continue
+			}
 			if best == nil || loss < bestLoss {
 				best, bestVictims, bestLoss = m, vs, loss
 			}
