--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -38,6 +38,7 @@
 	m      *machine
 	free   amount
 	closed bool // closing: reopened if nothing else has room
+	held   bool // kept for a more urgent job that hasn't room yet
 }
 
 // usable tells whether new tasks may go to a machine of ours.
@@ -278,6 +279,9 @@
 			}
 			teamLeft[spec.Team] = left
 			handTo := ""
+			if roomless && !spec.Service {
+				c.holdFor(j, cands, zones, (pending-placed+len(c.all)-1)/len(c.all))
+			}
 			if roomless && ours && spec.Service {
 				if !c.preempt(j, pending-placed, zones, false, now) && now-rs.handedAt > handPause {
 					handTo = parts.mostVictims(j, c.node)
@@ -318,6 +322,36 @@
 	}
 }
 
+// holdFor keeps the machines nearest to having room for a job from what is less
+// urgent in this pass. Else smaller tasks fill every gap as it opens, and a job
+// of larger ones waits for as long as there are any.
+func (c *Core) holdFor(j *job, cands []*candidate, zones *zoneRule, n int) {
+	held := 0
+	for _, cd := range cands {
+		if cd.held {
+			held++
+		}
+	}
+	// Few at a time: past what can be done, room that is kept is room wasted.
+	n = min(n, max(1, len(cands)/6)-held)
+	for ; n > 0; n-- {
+		var best *candidate
+		for _, cd := range cands {
+			if cd.held || !mayRun(&j.rec.Spec, &cd.m.rec) || !zones.ok(cd.m.rec.Zone) {
+				continue
+			}
+			t := c.types[cd.m.rec.Type]
+			if j.need.fits(capacity(&t)) && (best == nil || cd.free.cpus > best.free.cpus) {
+				best = cd
+			}
+		}
+		if best == nil {
+			return
+		}
+		best.held, best.free = true, amount{}
+	}
+}
+
 // waited tells whether a job has waited too long to go on looking for a better
 // place.
 func (c *Core) waited(j *job, wall int64) bool { return wall-j.rec.At > int64(2*micros.Second) }
