--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -80,7 +80,7 @@
 
 // leastWait is the part of a boot time that a spot task waits in any case before
 // an ordinary machine is rented for it: sooner than that none would be up.
-const leastWait = 0.65
+const leastWait = 0.5
 
 func (d *demand) mayUse(typ, zone string, spot bool) bool {
 	return allowed(d.spec, typ, zone) && (d.spec.Spot || !spot)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,7 +20,7 @@
 // Bounds of the daemon.
 const (
 	mailbox     = 4096
-	mostWorkers = 256     // direct commands in flight
+	mostWorkers = 128     // direct commands in flight
 	storeBody   = 8 << 20 // watches have no size limit of their own
 	cloudBody   = 2 << 20
 )
--- a/internal/daemon/timers.go
+++ b/internal/daemon/timers.go
@@ -51,9 +51,14 @@
 	return max(0, h.items[0].at-now)
 }
 
-// run runs what is due now; what it adds for now or earlier runs the next time.
+// run runs what is due now. What that adds runs the next time, even if it is due:
+// a timer that sets itself anew for now must not keep the mailbox waiting.
 func (h *timerHeap) run(now micros.T) {
-	for n := len(h.items); n > 0 && len(h.items) > 0 && h.items[0].at <= now; n-- {
-		heap.Pop(&h.items).(timerItem).f()
+	var due []func()
+	for len(h.items) > 0 && h.items[0].at <= now {
+		due = append(due, heap.Pop(&h.items).(timerItem).f)
+	}
+	for _, f := range due {
+		f()
 	}
 }
