--- a/internal/coordination/service_test.go
+++ b/internal/coordination/service_test.go
@@ -583,6 +583,53 @@
 	}
 }
 
+// TestCutOffTogether: a controller cut off with all workers, from the store and
+// from the others, must not keep tasks alive that a user has cancelled meanwhile;
+// in an outage that all share it must keep them.
+func TestCutOffTogether(t *testing.T) {
+	for _, cloudToo := range []bool{false, true} {
+		c := newCluster(t, 20).steady()
+		id := c.submit(0, jobOf{"shape": "daemon", "pips": 4})
+		if !c.sim.RunUntil(60*sec, func() bool { return c.fleet.Running(id) == 4 }) {
+			t.Fatal("not started")
+		}
+		// All workers go to n-0 first, then n-0 and they are cut off.
+		for _, w := range sortedKeys(c.fleet.Workers) {
+			c.cut[w+"-n-1"], c.cut[w+"-n-2"] = true, true
+		}
+		c.sim.Run(12 * sec)
+		c.cut["n-0-n-1"], c.cut["n-0-n-2"] = true, true
+		c.store.Refused["n-0"] = true
+		c.cloud.Trouble = cloudToo
+		c.sim.Run(sec)
+		if r := c.ask("n-1", "POST", "/v2/runs/"+id+"/abort", nil); r.Status != 200 {
+			t.Fatalf("abort: %d", r.Status)
+		}
+		c.fleet.Gone[id] = c.sim.Now() + 32*sec
+		c.sim.Run(33 * sec)
+		if n := c.fleet.Running(id); n > 0 {
+			t.Errorf("cloud trouble %v: %d tasks are still there", cloudToo, n)
+		}
+		c.rules()
+	}
+	c := newCluster(t, 21).steady()
+	id := c.submit(0, jobOf{"shape": "daemon", "pips": 4})
+	if !c.sim.RunUntil(60*sec, func() bool { return c.fleet.Running(id) == 4 }) {
+		t.Fatal("not started")
+	}
+	c.sim.Run(5 * sec)
+	starts := len(c.fleet.Starts)
+	c.store.Outage(60 * sec)
+	c.sim.Run(75 * sec)
+	total := 0
+	for _, n := range c.fleet.Starts {
+		total += n
+	}
+	if c.fleet.Running(id) != 4 || total != starts {
+		t.Errorf("after an outage %d run, %d starts", c.fleet.Running(id), total)
+	}
+}
+
 // TestGhost: a report of a machine that was deleted, held back on its way, must
 // not bring the machine to life again.
 func TestGhost(t *testing.T) {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -134,6 +134,10 @@
 		answer(errorReply(503, "records not read yet"))
 		return
 	}
+	if c.mustLapse(now) {
+		answer(errorReply(503, "cut off from the state service"))
+		return
+	}
 	if _, gone := c.ghosts[rep.Machine]; gone {
 		answer(errorReply(503, "machine has been given back"))
 		return
@@ -767,6 +771,9 @@
 		case removing:
 		case silent > proof+2*report:
 			c.remove(m, "silent")
+		case silent > patience && c.holdsCancelled(m):
+			// Its cancelled tasks must be gone in time, whoever is to blame.
+			c.remove(m, "cancelled tasks out of reach")
 		case w.noticed && silent > 2*report+micros.Second:
 			c.remove(m, "taken")
 		case silent > patience && 3*quiet <= ours:
@@ -784,6 +791,16 @@
 	c.claimMany(heirless)
 }
 
+// holdsCancelled tells whether the store holds tasks of cancelled jobs there.
+func (c *Core) holdsCancelled(m *machine) bool {
+	for ref := range m.tasks {
+		if j := c.view.jobs[ref.job]; j != nil && j.version != 0 && !j.open() {
+			return true
+		}
+	}
+	return false
+}
+
 // faulty: tasks of several jobs, or one job again and again, failed on it and
 // nothing completed in between; or what it runs takes several times as long as
 // expected, again and again.
