--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -452,8 +452,14 @@
 			score += imageWeight(spec)
 		}
 		if spec.Service {
-			// Services last: kept together they leave other machines to empty.
-			score -= 8 * c.serviceCPUs(cd.m)
+			// Services last: kept together they leave other machines to empty. But
+			// not too many: all of them go down with their machine.
+			most := c.types[cd.m.rec.Type].CPUs / packedPart
+			if held := c.serviceCPUs(cd.m); held <= most {
+				score -= 8 * held
+			} else {
+				score += 8 * (held - most)
+			}
 		}
 		if score < bestScore {
 			best, bestScore = cd, score
@@ -487,6 +493,10 @@
 	return n
 }
 
+// packedPart: services are drawn to a machine until they hold one of so many
+// parts of it.
+const packedPart = 4
+
 // imageWeight weighs an image fetch against a tighter fit: a service counts as
 // started only once its image is there, and it stays, so it pays to wait for
 // nothing else.
