--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -172,12 +172,19 @@
 	now := c.now()
 	c.fast(now)
 	if now >= c.slowAt {
-		c.slowAt = now + slowTick
 		c.slow(now)
+		c.slowAt = pace(now, c.now(), slowTick)
 	}
 	c.env.After(fastTick, c.tick)
 }
 
+// pace tells when work that ran from begun to ended is due again: after its
+// interval, or later so that it takes at most a tenth of the time. With thousands
+// of jobs a pass costs milliseconds; leases and users must keep their share.
+func pace(begun, ended, interval micros.T) micros.T {
+	return begun + max(interval, 10*(ended-begun))
+}
+
 func (c *Core) fast(now micros.T) {
 	c.keepLease(now)
 	c.keepWatch(now)
@@ -187,8 +194,8 @@
 	c.flushOutcomes(now)
 	if c.dirty && now >= c.placeAt {
 		c.dirty = false
-		c.placeAt = now + 2*fastTick
 		c.place(now)
+		c.placeAt = pace(now, c.now(), 2*fastTick)
 	}
 }
 
