Guarantees through giving back what other teams borrow

A job within its team's guarantee that has found no room for a second stops tasks that other teams run beyond theirs, of at most its own priority.

--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -282,6 +282,11 @@
 			if roomless && !spec.Service {
 				c.holdFor(j, cands, zones, (pending-placed+len(c.all)-1)/len(c.all))
 			}
+			if roomless && ours && !spec.Service && wall-j.rec.At > int64(micros.Second) && c.guaranteed(j) {
+				if !c.preempt(j, min(pending-placed, owedAtOnce), zones, false, now) && now-rs.handedAt > handPause {
+					handTo = parts.mostVictims(j, c.node)
+				}
+			}
 			if roomless && ours && spec.Service {
 				if !c.preempt(j, pending-placed, zones, false, now) && now-rs.handedAt > handPause {
 					handTo = parts.mostVictims(j, c.node)
@@ -493,6 +498,9 @@
 	return n
 }
 
+// owedAtOnce is how many tasks of a job get room by its team's guarantee at a time.
+const owedAtOnce = 4
+
 // packedPart: services are drawn to a machine until they hold one of so many
 // parts of it.
 const packedPart = 4
@@ -651,14 +659,27 @@
 	return n
 }
 
-// mostVictims names the other part that could best make room, or "".
+// mostVictims names the other part that could make room for a job on most
+// machines by stopping what may be stopped for it, or "".
 func (p *partRooms) mostVictims(j *job, not string) string {
 	most, part := 0, ""
 	for _, n := range p.core.live() {
 		if n == not {
 			continue
 		}
-		if r := p.victims(&j.rec.Spec, n, false); r > most {
+		r := 0
+		for _, cd := range p.parts[n] {
+			free := cd.free
+			for ref := range cd.m.tasks {
+				if v := p.core.view.jobs[ref.job]; v != nil && v.open() && p.core.mayStop(j, v) {
+					free = free.plus(v.need, 1)
+				}
+			}
+			if mayRun(&j.rec.Spec, &cd.m.rec) && j.need.fits(free) {
+				r++
+			}
+		}
+		if r > most {
 			most, part = r, n
 		}
 	}
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -28,9 +28,9 @@
 	loss float64 // CPU seconds of work that stopping it throws away
 }
 
-// preempt stops tasks of lower priority so that up to want tasks of a service
-// get room on our machines; the cheapest loss first. Only services preempt: an
-// array gains little by it and the work thrown away is paid for. It tells
+// preempt stops tasks so that up to want tasks of a job get room on our machines;
+// the cheapest loss first, see mayStop. For its priority only a service preempts:
+// an array gains little by it and the work thrown away is paid for. It tells
 // whether room is being made. With beside, only machines that have the job's
 // image count, and only a small loss is worth it.
 func (c *Core) preempt(j *job, want int, zones *zoneRule, beside bool, now micros.T) bool {
@@ -78,13 +78,39 @@
 	return true
 }
 
+// mayStop tells whether a task of v may be stopped for j: one of lower priority
+// for a service; one that another team runs beyond its guarantee, so that j's team
+// gets its own. The protocol would let that be of any priority; of a higher one it
+// would be placed again first, and the two would stop each other for ever.
+func (c *Core) mayStop(j, v *job) bool {
+	if v.rec.Spec.Priority < j.rec.Spec.Priority && j.rec.Spec.Service {
+		return true
+	}
+	return v.rec.Spec.Team != j.rec.Spec.Team && !v.rec.Spec.Service && v.rec.Spec.Priority <= j.rec.Spec.Priority && c.guaranteed(j) && c.beyond(v.rec.Spec.Team, amount{})
+}
+
+// guaranteed tells whether a job's next task is owed to its team: the team has a
+// guarantee and the task lies within it.
+func (c *Core) guaranteed(j *job) bool {
+	team, _ := c.team(j.rec.Spec.Team)
+	return (team.CPUs > 0 || team.GPUs > 0) && c.owed(j)
+}
+
+// beyond tells whether a team uses more than its guarantee, less what is to be
+// stopped of it.
+func (c *Core) beyond(name string, less amount) bool {
+	team, _ := c.team(name)
+	use := c.view.teamUse[name].plus(less, -1)
+	return use.cpus > team.CPUs+slack || use.gpus > team.GPUs+slack
+}
+
 // victimsOn picks the tasks of a machine whose stop makes room for one task of
 // a job, with least work lost.
 func (c *Core) victimsOn(m *machine, j *job, free amount, now micros.T) (vs []victim, loss float64, ok bool) {
 	var all []victim
 	for ref, attempt := range m.tasks {
 		v := c.view.jobs[ref.job]
-		if v == nil || !v.open() || v.rec.Spec.Priority >= j.rec.Spec.Priority || c.settled(v, ref, attempt) {
+		if v == nil || !v.open() || !c.mayStop(j, v) || c.settled(v, ref, attempt) {
 			continue
 		}
 		k := attemptKey{ref, attempt}
@@ -106,10 +132,18 @@
 		}
 		return all[a].key.ref.String() < all[b].key.ref.String()
 	})
+	taken := map[string]amount{}
 	for _, v := range all {
 		if j.need.fits(free) {
 			break
 		}
+		if s := &c.view.jobs[v.key.ref.job].rec.Spec; !j.rec.Spec.Service || s.Priority >= j.rec.Spec.Priority {
+			// Only what its team has beyond its guarantee may go.
+			if !c.beyond(s.Team, taken[s.Team]) {
+				continue
+			}
+			taken[s.Team] = taken[s.Team].plus(v.need, 1)
+		}
 		free = free.plus(v.need, 1)
 		loss += v.loss
 		vs = append(vs, v)
--- a/internal/coordination/service_test.go
+++ b/internal/coordination/service_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"pipitgap/internal/bookkeeping"
+	"pipitgap/internal/config"
 	"pipitgap/internal/micros"
 	"pipitgap/internal/protocol"
 	"pipitgap/internal/standin"
@@ -690,6 +691,30 @@
 	}
 }
 
+// TestGuarantee: what a team runs beyond its guarantee is given back when another
+// team has work within its own; nothing more than that.
+func TestGuarantee(t *testing.T) {
+	c := newCluster(t, 22)
+	c.teams = []config.Team{{Name: "free", CPUs: 8}, {Name: "tight", CPUs: 8}}
+	clear(c.fleet.Limits)
+	clear(c.cloud.Capacity)
+	c.cloud.Capacity[standin.Offer("m8", "a", false)] = 2
+	c.steady()
+	borrower := c.submit(300*sec, jobOf{"pips": 8})
+	if !c.sim.RunUntil(60*sec, func() bool { return c.fleet.Running(borrower) == 8 }) {
+		t.Fatalf("borrower: %d run", c.fleet.Running(borrower))
+	}
+	owner := c.submit(300*sec, jobOf{"pips": 8, "crew": "tight"})
+	if !c.sim.RunUntil(30*sec, func() bool { return c.fleet.Running(owner) == 4 }) {
+		t.Errorf("%d tasks run within the guarantee", c.fleet.Running(owner))
+	}
+	c.sim.Run(30 * sec)
+	if a, b := c.fleet.Running(borrower), c.fleet.Running(owner); a != 4 || b != 4 {
+		t.Errorf("borrower %d, owner %d tasks; each has a guarantee of 4", a, b)
+	}
+	c.rules()
+}
+
 // TestStartInCloudOutage: controllers that start while the cloud is out know the
 // machine types from the store; they accept, and place on what is there.
 func TestStartInCloudOutage(t *testing.T) {
