--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -282,7 +282,7 @@
 			if roomless && !spec.Service {
 				c.holdFor(j, cands, zones, (pending-placed+len(c.all)-1)/len(c.all))
 			}
-			if roomless && ours && !spec.Service && wall-j.rec.At > int64(micros.Second) && c.guaranteed(j) {
+			if roomless && ours && !spec.Service && wall-j.rec.At > int64(owedAfter) && c.guaranteed(j) {
 				if !c.preempt(j, min(pending-placed, owedAtOnce), zones, false, now) && now-rs.handedAt > handPause {
 					handTo = parts.mostVictims(j, c.node)
 				}
@@ -498,6 +498,9 @@
 	return n
 }
 
+// owedAfter is how long a job within a guarantee looks for free room first.
+const owedAfter = 5 * micros.Second / 2
+
 // owedAtOnce is how many tasks of a job get room by its team's guarantee at a time.
 const owedAtOnce = 4
 
