--- a/internal/coordination/service_test.go
+++ b/internal/coordination/service_test.go
@@ -310,6 +310,15 @@
 				w.Silent = false
 			}
 		}},
+		{"machines hang within their lease and resume", func(c *cluster) {
+			for i, id := range sortedKeys(c.fleet.Workers) {
+				c.fleet.Workers[id].Hanging = i%2 == 0
+			}
+			c.sim.Run(8 * sec)
+			for _, w := range c.fleet.Workers {
+				w.Hanging = false
+			}
+		}},
 		{"machines die", func(c *cluster) {
 			for i, id := range sortedKeys(c.fleet.Workers) {
 				if i%2 == 0 {
