--- /dev/null
+++ b/internal/bookkeeping/page.go
@@ -0,0 +1,353 @@
+package bookkeeping
+
+import (
+	"fmt"
+	"sort"
+	"strconv"
+	"strings"
+
+	"pipitgap/internal/protocol"
+)
+
+// MachineState is where a machine stands.
+type MachineState string
+
+// States of a machine. A closing machine is the part's own affair and not kept.
+const (
+	MachineOpen     MachineState = "o"
+	MachineQuiet    MachineState = "q" // out of reach just now: no room, no supply
+	MachineDraining MachineState = "d" // no new tasks ever again
+	MachineRemoving MachineState = "r" // for the leader to give back
+)
+
+// Page is the record of KindPage: some of a part's machines, the attempts on
+// them, and which tasks were completed there. A page has one owner, who alone
+// writes it; whoever takes it over changes its version by that, so no late write
+// of an earlier owner can follow. Decoded entries are never changed in place.
+type Page struct {
+	Owner       string
+	Incarnation uint64
+	Claim       uint64
+	Machines    map[string]*PageMachine
+	Jobs        map[string]*PageJob
+}
+
+// PageMachine is a machine in a page.
+type PageMachine struct {
+	Num      int // its short name within the page
+	Type     string
+	Zone     string
+	Spot     bool
+	Endpoint string
+	State    MachineState
+	Claim    uint64 // when above the page's: it came from another part's page
+}
+
+// PageJob is what a page holds of a job.
+type PageJob struct {
+	Done Tasks
+	Held []Held // ordered by task
+	text string // its stored form, to tell what changed
+}
+
+// Held is an attempt on a machine.
+type Held struct {
+	Task    int
+	Machine string
+	Attempt uint64
+}
+
+// ClaimOf gives the claim number under which a machine of the page is held.
+func (p *Page) ClaimOf(m *PageMachine) uint64 { return max(p.Claim, m.Claim) }
+
+// Clone copies a page so that a change can be prepared; the entries are shared
+// and must be replaced rather than changed.
+func (p *Page) Clone() *Page {
+	q := *p
+	q.Machines = make(map[string]*PageMachine, len(p.Machines)+1)
+	for k, v := range p.Machines {
+		q.Machines[k] = v
+	}
+	q.Jobs = make(map[string]*PageJob, len(p.Jobs)+1)
+	for k, v := range p.Jobs {
+		q.Jobs[k] = v
+	}
+	return &q
+}
+
+// Add puts a machine into the page under the lowest free number.
+func (p *Page) Add(id string, m PageMachine) {
+	used := make(map[int]bool, len(p.Machines))
+	for _, o := range p.Machines {
+		used[o.Num] = true
+	}
+	m.Num = 0
+	for used[m.Num] {
+		m.Num++
+	}
+	p.Machines[id] = &m
+}
+
+// SetState replaces a machine's state.
+func (p *Page) SetState(id string, s MachineState) {
+	m := *p.Machines[id]
+	m.State = s
+	p.Machines[id] = &m
+}
+
+// Assign gives a task to a machine.
+func (p *Page) Assign(job string, h Held) {
+	old := p.Jobs[job]
+	if old == nil {
+		old = &PageJob{}
+	}
+	k := sort.Search(len(old.Held), func(i int) bool { return old.Held[i].Task >= h.Task })
+	held := make([]Held, 0, len(old.Held)+1)
+	held = append(append(append(held, old.Held[:k]...), h), old.Held[k:]...)
+	p.Jobs[job] = &PageJob{Done: old.Done, Held: held}
+}
+
+// Release takes an attempt off; done: the task is completed.
+func (p *Page) Release(job string, task int, done bool) {
+	old := p.Jobs[job]
+	if old == nil {
+		return
+	}
+	next := &PageJob{Done: old.Done, Held: make([]Held, 0, len(old.Held))}
+	for _, h := range old.Held {
+		if h.Task != task {
+			next.Held = append(next.Held, h)
+		}
+	}
+	if done {
+		next.Done = next.Done.With(task)
+	}
+	if len(next.Held) == 0 && len(next.Done) == 0 {
+		delete(p.Jobs, job)
+		return
+	}
+	p.Jobs[job] = next
+}
+
+// pageRecord is a page as stored. What is counted is its JSON form, and every
+// change of a task is a change of a page: so machines and jobs are packed text.
+//
+//	machines: "num id endpoint kind state [claim]" joined by ";"
+//	jobs: "id dDONE num@attempt:TASKS ..." joined by ";"
+type pageRecord struct {
+	Owner       string    `msgpack:"o"`
+	Incarnation uint64    `msgpack:"i"`
+	Claim       uint64    `msgpack:"c"`
+	Kinds       []kindRec `msgpack:"k"`
+	Machines    string    `msgpack:"m"`
+	Jobs        string    `msgpack:"j"`
+}
+
+type kindRec struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Type     string
+	Zone     string
+	Spot     bool
+}
+
+// Encode gives the stored form and its size as the state service counts it (an
+// upper bound).
+func (p *Page) Encode() (protocol.Raw, int) {
+	rec := pageRecord{Owner: p.Owner, Incarnation: p.Incarnation, Claim: p.Claim}
+	kinds := map[kindRec]int{}
+	var b []byte
+	for _, id := range sortedNames(p.Machines) {
+		m := p.Machines[id]
+		k := kindRec{Type: m.Type, Zone: m.Zone, Spot: m.Spot}
+		n, ok := kinds[k]
+		if !ok {
+			n = len(rec.Kinds)
+			kinds[k] = n
+			rec.Kinds = append(rec.Kinds, k)
+		}
+		if len(b) > 0 {
+			b = append(b, ';')
+		}
+		b = strconv.AppendInt(b, int64(m.Num), 36)
+		b = append(append(b, ' '), id...)
+		b = append(append(b, ' '), m.Endpoint...)
+		b = strconv.AppendInt(append(b, ' '), int64(n), 36)
+		b = append(append(b, ' '), m.State...)
+		if m.Claim > p.Claim {
+			b = strconv.AppendUint(append(b, ' '), m.Claim, 36)
+		}
+	}
+	rec.Machines = string(b)
+	var j strings.Builder
+	for _, id := range sortedNames(p.Jobs) {
+		if j.Len() > 0 {
+			j.WriteByte(';')
+		}
+		e := p.Jobs[id]
+		if e.text == "" {
+			e.text = e.encode(id, p.Machines)
+		}
+		j.WriteString(e.text)
+	}
+	rec.Jobs = j.String()
+	size := 120 + len(p.Owner) + len(rec.Machines) + len(rec.Jobs)
+	for _, k := range rec.Kinds {
+		size += len(k.Type) + len(k.Zone) + 14
+	}
+	return protocol.MustMarshal(&rec), size
+}
+
+func (e *PageJob) encode(id string, machines map[string]*PageMachine) string {
+	b := append(make([]byte, 0, 64), id...)
+	if len(e.Done) > 0 {
+		b = e.Done.append(append(b, " d"...))
+	}
+	// Attempts on one machine that began together share their head.
+	type head struct {
+		num     int
+		attempt uint64
+	}
+	var order []head
+	groups := map[head]Tasks{}
+	for _, h := range e.Held {
+		k := head{machines[h.Machine].Num, h.Attempt}
+		g, ok := groups[k]
+		if !ok {
+			order = append(order, k)
+		}
+		groups[k] = g.With(h.Task)
+	}
+	for _, k := range order {
+		b = strconv.AppendInt(append(b, ' '), int64(k.num), 36)
+		b = strconv.AppendUint(append(b, '@'), k.attempt, 36)
+		b = groups[k].append(append(b, ':'))
+	}
+	return string(b)
+}
+
+// Bound tells how large the page can get without another assignment: as its
+// attempts end in any order, ranges of them fall apart. Whatever becomes of what
+// is assigned must always find room in the record.
+func (p *Page) Bound() int {
+	_, size := p.Encode()
+	for _, e := range p.Jobs {
+		for _, h := range e.Held {
+			size += TaskBound(h.Task) + 1
+		}
+	}
+	return size
+}
+
+// TaskBound is what one task's number takes at most.
+func TaskBound(task int) int {
+	n := 2
+	for ; task >= 10; task /= 10 {
+		n++
+	}
+	return n
+}
+
+// DecodePage reads a stored page; entries that stand in old unchanged are shared
+// with it.
+func DecodePage(raw protocol.Raw, old *Page) (*Page, error) {
+	var rec pageRecord
+	if err := protocol.Unmarshal(raw, &rec); err != nil {
+		return nil, err
+	}
+	p := &Page{Owner: rec.Owner, Incarnation: rec.Incarnation, Claim: rec.Claim,
+		Machines: map[string]*PageMachine{}, Jobs: map[string]*PageJob{}}
+	bad := func(what string) error { return fmt.Errorf("page with a bad entry %q", what) }
+	byNum := map[int]string{}
+	for _, entry := range split(rec.Machines) {
+		f := strings.Split(entry, " ")
+		if len(f) < 5 {
+			return nil, bad(entry)
+		}
+		num, err1 := strconv.ParseInt(f[0], 36, 32)
+		kind, err2 := strconv.ParseInt(f[3], 36, 32)
+		if err1 != nil || err2 != nil || kind < 0 || int(kind) >= len(rec.Kinds) || f[1] == "" {
+			return nil, bad(entry)
+		}
+		k := rec.Kinds[kind]
+		m := &PageMachine{Num: int(num), Type: k.Type, Zone: k.Zone, Spot: k.Spot, Endpoint: f[2], State: MachineState(f[4])}
+		if len(f) > 5 {
+			c, err := strconv.ParseUint(f[5], 36, 64)
+			if err != nil {
+				return nil, bad(entry)
+			}
+			m.Claim = c
+		}
+		if byNum[m.Num] != "" || p.Machines[f[1]] != nil {
+			return nil, bad(entry)
+		}
+		byNum[m.Num] = f[1]
+		p.Machines[f[1]] = m
+		if old != nil && old.Machines[f[1]] != nil {
+			if o := old.Machines[f[1]]; *o == *m {
+				p.Machines[f[1]] = o
+			}
+		}
+	}
+	// Numbers are names within the page: only while they mean the same machines
+	// does the same text mean the same.
+	same := old != nil
+	if same {
+		for id, o := range old.Machines {
+			if other, ok := byNum[o.Num]; ok && other != id {
+				same = false
+				break
+			}
+		}
+	}
+	for _, entry := range split(rec.Jobs) {
+		id, rest, _ := strings.Cut(entry, " ")
+		if id == "" || p.Jobs[id] != nil {
+			return nil, bad(entry)
+		}
+		if same {
+			if o := old.Jobs[id]; o != nil && o.text == entry {
+				p.Jobs[id] = o
+				continue
+			}
+		}
+		e := &PageJob{text: entry}
+		for _, f := range strings.Fields(rest) {
+			if done, ok := strings.CutPrefix(f, "d"); ok && !strings.Contains(f, "@") {
+				t, err := parseTasks(done, protocol.MaxTasks)
+				if err != nil {
+					return nil, err
+				}
+				e.Done = t
+				continue
+			}
+			head, tasks, ok1 := strings.Cut(f, ":")
+			num, attempt, ok2 := strings.Cut(head, "@")
+			n, err1 := strconv.ParseInt(num, 36, 32)
+			a, err2 := strconv.ParseUint(attempt, 36, 64)
+			t, err3 := parseTasks(tasks, protocol.MaxTasks)
+			if !ok1 || !ok2 || err1 != nil || err2 != nil || err3 != nil || byNum[int(n)] == "" {
+				return nil, bad(entry)
+			}
+			t.Each(func(i int) { e.Held = append(e.Held, Held{i, byNum[int(n)], a}) })
+		}
+		sort.Slice(e.Held, func(a, b int) bool { return e.Held[a].Task < e.Held[b].Task })
+		p.Jobs[id] = e
+	}
+	return p, nil
+}
+
+func split(s string) []string {
+	if s == "" {
+		return nil
+	}
+	return strings.Split(s, ";")
+}
+
+func sortedNames[V any](m map[string]V) []string {
+	out := make([]string, 0, len(m))
+	for k := range m {
+		out = append(out, k)
+	}
+	sort.Strings(out)
+	return out
+}
--- a/internal/bookkeeping/queue.go
+++ b/internal/bookkeeping/queue.go
@@ -49,9 +49,8 @@
 	RankLease Rank = iota
 	RankClaim
 	RankCancel
-	RankOutcome
+	RankPage
 	RankUser
-	RankAssign
 	RankRest
 	ranks
 )
--- /dev/null
+++ b/internal/bookkeeping/tasks.go
@@ -0,0 +1,91 @@
+package bookkeeping
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// Span is a run of task numbers, from First up to but not including End.
+type Span struct{ First, End int }
+
+// Tasks is a set of task numbers: spans in order that don't touch.
+type Tasks []Span
+
+// Count tells how many tasks the set holds.
+func (t Tasks) Count() int {
+	n := 0
+	for _, s := range t {
+		n += s.End - s.First
+	}
+	return n
+}
+
+// Each calls f for every task in order.
+func (t Tasks) Each(f func(int)) {
+	for _, s := range t {
+		for i := s.First; i < s.End; i++ {
+			f(i)
+		}
+	}
+}
+
+// With gives the set with one task more; t itself is not changed.
+func (t Tasks) With(task int) Tasks {
+	k := 0
+	for k < len(t) && t[k].End < task {
+		k++
+	}
+	if k < len(t) && t[k].First <= task && task < t[k].End {
+		return t
+	}
+	out := make(Tasks, 0, len(t)+1)
+	out = append(out, t[:k]...)
+	s := Span{task, task + 1}
+	if k < len(t) && t[k].End == task {
+		s.First = t[k].First
+		k++
+	}
+	if k < len(t) && t[k].First == s.End {
+		s.End = t[k].End
+		k++
+	}
+	return append(append(out, s), t[k:]...)
+}
+
+// append writes the set's text: "0-31,40".
+func (t Tasks) append(b []byte) []byte {
+	for i, s := range t {
+		if i > 0 {
+			b = append(b, ',')
+		}
+		b = strconv.AppendInt(b, int64(s.First), 10)
+		if s.End-s.First > 1 {
+			b = append(b, '-')
+			b = strconv.AppendInt(b, int64(s.End-1), 10)
+		}
+	}
+	return b
+}
+
+// parseTasks reads it. Numbers are bounded, so that a bad record costs nothing.
+func parseTasks(s string, most int) (Tasks, error) {
+	var out Tasks
+	last := -1
+	for len(s) > 0 {
+		var part string
+		part, s, _ = strings.Cut(s, ",")
+		a, b, two := strings.Cut(part, "-")
+		first, err := strconv.Atoi(a)
+		end := first
+		if err == nil && two {
+			end, err = strconv.Atoi(b)
+		}
+		if err != nil || first <= last || end < first || end >= most {
+			return nil, fmt.Errorf("tasks %q out of order or bounds", part)
+		}
+		last = end
+		out = append(out, Span{first, end + 1})
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/coordination/autoscaler.go
@@ -0,0 +1,348 @@
+package coordination
+
+import (
+	"fmt"
+	"math"
+	"sort"
+
+	"pipitgap/internal/bookkeeping"
+	"pipitgap/internal/micros"
+)
+
+// Bounds of a pass.
+const (
+	mostAPass  = 600 // machines rented in a pass
+	bootWeight = 60  // seconds: boot time that makes an offer look twice as dear
+)
+
+// unmet lists the offers that are sidelined.
+func (c *Core) unmet() map[offer]bool {
+	out := map[offer]bool{}
+	for _, a := range c.view.asks {
+		if a.rec.Phase == bookkeeping.AskUnmet {
+			out[offer{a.rec.Type, a.rec.Zone, a.rec.Spot}] = true
+		}
+	}
+	return out
+}
+
+// demands lists the unplaced tasks that teams' limits let run, and the room
+// there is for them.
+func (c *Core) demands(now micros.T) (ds []*demand, bins []*bin) {
+	teamLeft := map[string]amount{}
+	for i, j := range c.openJobs() {
+		spec := &j.rec.Spec
+		if s := c.jobState[j.id]; s != nil && now < s.until {
+			continue
+		}
+		left, ok := teamLeft[spec.Team]
+		if !ok {
+			team, _ := c.team(spec.Team)
+			left = team.left(c.view.teamUse[spec.Team])
+		}
+		n := min(j.waiting(), j.need.count(left))
+		teamLeft[spec.Team] = left.plus(j.need, -float64(n))
+		if n > 0 {
+			ds = append(ds, &demand{spec: spec, need: j.need, count: n, job: j.id, index: i, zones: newZoneRule(c.view, j), slack: c.slack(j, c.env.Wall()), lasts: c.expected(spec)})
+		}
+	}
+	for _, id := range sortedKeys(c.view.machines) {
+		m := c.view.machines[id]
+		if m.rec == nil || m.rec.State != bookkeeping.MachineOpen {
+			continue
+		}
+		t, ok := c.types[m.rec.Type]
+		if !ok {
+			continue
+		}
+		b := &bin{typ: m.rec.Type, zone: m.rec.Zone, spot: m.rec.Spot, size: capacity(&t), free: capacity(&t).plus(m.used, -1)}
+		b.machine = id
+		c.expectedRoom(b, m)
+		bins = append(bins, b)
+	}
+	// Open requests are supply: the largest first of the design's order.
+	for _, name := range sortedKeys(c.view.asks) {
+		a := c.view.asks[name]
+		t, ok := c.types[a.rec.Type]
+		if !ok || a.rec.Phase == bookkeeping.AskUnmet {
+			continue
+		}
+		n := a.rec.Count
+		late := false
+		if c.set.OverdueBoot > 0 && a.rec.Phase == bookkeeping.AskProvisioning {
+			boots := micros.T(c.env.Wall()-a.rec.At).Seconds() / max(t.BootS, 1)
+			if boots > 1.5*c.set.OverdueBoot {
+				continue // one of the slow or dead ones: no longer to be relied on
+			}
+			late = boots > c.set.OverdueBoot
+		}
+		if a.rec.Phase == bookkeeping.AskProvisioning {
+			n = len(c.missing(a))
+		}
+		for ; n > 0; n-- {
+			bins = append(bins, &bin{typ: a.rec.Type, zone: a.rec.Zone, spot: a.rec.Spot, size: capacity(&t), free: capacity(&t),
+				rate: t.CPUs, boot: t.BootS, late: late})
+		}
+	}
+	return ds, bins
+}
+
+// expectedRoom estimates what a machine can give to waiting tasks: what its
+// services hold is out, and its other tasks are taken to be half through.
+func (c *Core) expectedRoom(b *bin, m *machine) {
+	t := c.types[b.typ]
+	b.rate, b.boot = t.CPUs, t.BootS
+	for ref := range m.tasks {
+		j := c.view.jobs[ref.job]
+		if j == nil {
+			continue
+		}
+		if j.rec.Spec.Service {
+			b.rate -= j.need.cpus
+		} else {
+			b.stoppable = b.stoppable.plus(j.need, 1)
+			b.busy += j.need.cpus * c.expected(&j.rec.Spec) / 2
+		}
+	}
+}
+
+// doubt stretches estimates: they are wrong, and images must be fetched.
+const doubt = 1.2
+
+// within is the time that the users' aim gives a job: its deadline, else the
+// longest time of an objective for its class; without either, any.
+func (c *Core) within(s *bookkeeping.Spec) float64 {
+	if s.DeadlineS > 0 {
+		return s.DeadlineS
+	}
+	most := 0.0
+	for _, o := range c.cfg.Facts.Objectives {
+		if o.Kind == "finished" && o.Class == s.Class {
+			most = max(most, o.WithinS)
+		}
+	}
+	if most == 0 {
+		return math.Inf(1)
+	}
+	return most
+}
+
+// slack tells how many seconds a job's waiting tasks may still wait and meet the
+// users' aim.
+func (c *Core) slack(j *job, wall int64) float64 {
+	s := &j.rec.Spec
+	return c.within(s) - micros.T(wall-j.rec.At).Seconds() - doubt*c.expected(s)
+}
+
+// offers lists what may be rented now.
+func (c *Core) offers() []*offerInfo {
+	unmet := c.unmet()
+	inZone := map[string]int{}
+	for _, m := range c.view.machines {
+		if m.rec != nil {
+			inZone[m.rec.Zone]++
+		}
+	}
+	for _, a := range c.view.asks {
+		if a.rec.Phase != bookkeeping.AskUnmet {
+			inZone[a.rec.Zone] += a.rec.Count
+		}
+	}
+	var out []*offerInfo
+	for _, name := range sortedKeys(c.types) {
+		t := c.types[name]
+		for _, zone := range t.Zones {
+			for _, spot := range []bool{true, false} {
+				o := offer{name, zone, spot}
+				price := t.Price
+				if spot {
+					price = t.SpotPrice
+				}
+				// Boot time is paid for too, and keeps tasks waiting.
+				price *= 1 + t.BootS/bootWeight
+				if unmet[o] || price <= 0 {
+					continue
+				}
+				out = append(out, &offerInfo{offer: o, capacity: capacity(&t), price: price, have: inZone[zone]})
+			}
+		}
+	}
+	return out
+}
+
+// pass is the design's: demand net of room and open requests, then rentals,
+// then empty machines.
+func (c *Core) pass(now micros.T) {
+	if c.types == nil {
+		return
+	}
+	ds, bins := c.demands(now)
+	largestFirst(ds)
+	fill(ds, bins)
+	reserve := c.headroom()
+	needed := map[string]bool{}
+	holdRoom(reserve, bins, needed)
+	absorb(ds, bins, c.set.ExpectedRoom, false)
+	ds = append(ds, reserve...)
+	l := &c.leader
+	wanted := ds[:0]
+	waiting := map[string]bool{}
+	for _, d := range ds {
+		if d.count == 0 {
+			continue
+		}
+		waiting[d.job] = true
+		if u := l.unplaced[d.job]; u != nil && (u.out && u.recover == l.recover || !u.out && now < u.until) {
+			continue
+		}
+		wanted = append(wanted, d)
+	}
+	before := map[string]int{}
+	for _, d := range wanted {
+		before[d.job] = d.count
+	}
+	chosen := c.choosePlan(wanted, bins)
+	for _, d := range wanted {
+		c.backOff(d, d.count < before[d.job], now)
+	}
+	for id := range l.unplaced {
+		if !waiting[id] {
+			delete(l.unplaced, id)
+		}
+	}
+	var offers []offer
+	for o := range chosen {
+		offers = append(offers, o)
+	}
+	sort.Slice(offers, func(a, b int) bool { return fmt.Sprint(offers[a]) < fmt.Sprint(offers[b]) })
+	for _, o := range offers {
+		for n := chosen[o]; n > 0; n -= mostARent {
+			c.ask(o, min(n, mostARent))
+		}
+	}
+}
+
+// headroom is room that is kept for services yet to come: a part of what each
+// class of services uses now. A service that finds room starts within its image
+// fetch, one that doesn't waits for a boot.
+func (c *Core) headroom() []*demand {
+	if c.set.ServiceHeadroom == 0 {
+		return nil
+	}
+	count := map[string]int{}
+	like := map[string]*job{}
+	for _, id := range sortedKeys(c.view.jobs) {
+		if j := c.view.jobs[id]; j.open() && j.rec.Spec.Service {
+			k := j.rec.Spec.Class
+			count[k] += j.rec.Spec.Tasks
+			like[k] = j
+		}
+	}
+	var out []*demand
+	for _, k := range sortedKeys(like) {
+		spec := like[k].rec.Spec
+		spec.OneZone, spec.Spread, spec.Zone, spec.Types = false, false, "", nil
+		n := int(math.Ceil(float64(count[k]) * c.set.ServiceHeadroom))
+		out = append(out, &demand{spec: &spec, need: like[k].need, count: n, job: "headroom " + k, index: math.MaxInt32})
+	}
+	return out
+}
+
+// choosePlan plans in two steps: first spot machines for the tasks that may use
+// them, and what the others need; then, for spot tasks that are left and would
+// wait beyond the longer horizon, ordinary machines.
+func (c *Core) choosePlan(wanted []*demand, bins []*bin) map[offer]int {
+	chosen := map[offer]int{}
+	offers := c.offers()
+	plan(wanted, offers, mostAPass, func(d *demand, o *offerInfo) bool { return o.spot == d.spec.Spot }, chosen)
+	for o, n := range chosen {
+		t := c.types[o.typ]
+		for ; n > 0; n-- {
+			bins = append(bins, &bin{typ: o.typ, zone: o.zone, spot: o.spot, size: capacity(&t), rate: t.CPUs, boot: t.BootS})
+		}
+	}
+	absorb(wanted, bins, c.set.ExpectedRoomOrdinary, true)
+	plan(wanted, offers, mostAPass, nil, chosen)
+	return chosen
+}
+
+// backOff follows a job whose tasks no offer can take: after several passes it
+// pauses, longer each time, and at the ceiling it leaves the demand until an
+// offer recovers.
+func (c *Core) backOff(d *demand, met bool, now micros.T) {
+	l := &c.leader
+	if met {
+		delete(l.unplaced, d.job)
+		return
+	}
+	u := l.unplaced[d.job]
+	if u == nil {
+		u = &unplaced{}
+		l.unplaced[d.job] = u
+	}
+	u.passes++
+	if u.out {
+		u.recover = l.recover
+		return
+	}
+	if u.passes < c.set.BackoffPasses {
+		return
+	}
+	if u.step == 0 {
+		u.step = c.set.BackoffFirst.T()
+	} else {
+		u.step *= 2
+	}
+	if u.step >= c.set.BackoffMost.T() {
+		u.out, u.recover = true, l.recover
+		c.log.Info("job leaves the demand until an offer recovers", "job", d.job, "tasks", d.count)
+		return
+	}
+	u.until = now + u.step
+}
+
+// tendEmpty closes our empty machines, and has them given back after the delay if
+// they are still empty; headroom that all parts together keep is left. Closing is
+// only a matter of the part that places on them: a waiting task reopens one
+// without a write. Each part does so for its own machines, as it alone writes its
+// pages, and the leader deletes them.
+func (c *Core) tendEmpty(now micros.T) {
+	if c.types == nil {
+		return
+	}
+	needed := map[string]bool{}
+	if c.set.ServiceHeadroom > 0 {
+		_, bins := c.demands(now)
+		holdRoom(c.headroom(), bins, needed)
+	}
+	seen := map[string]bool{}
+	for _, id := range sortedKeys(c.view.machines) {
+		m := c.view.machines[id]
+		if m.w == nil || m.rec == nil || len(m.tasks) > 0 || needed[id] && m.rec.State != bookkeeping.MachineDraining || m.w.removing != "" {
+			continue
+		}
+		switch m.rec.State {
+		case bookkeeping.MachineOpen:
+			seen[id] = true
+			at, ok := c.emptyAt[id]
+			if !ok {
+				c.emptyAt[id] = now
+				continue
+			}
+			closed, ok := c.closedAt[id]
+			if !ok && now-at >= 2*c.set.PassInterval.T() {
+				c.closedAt[id] = now
+			} else if ok && now-closed >= c.set.ScaleDownDelay.T() {
+				c.remove(m, removeIdle)
+			}
+		case bookkeeping.MachineDraining:
+			c.remove(m, removeDrained)
+		}
+	}
+	for id := range c.emptyAt {
+		if !seen[id] {
+			delete(c.emptyAt, id)
+			delete(c.closedAt, id)
+		}
+	}
+}
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -49,9 +49,8 @@
 	watchBlock    = 2 * micros.Second
 	fastTick      = 50 * micros.Millisecond
 	slowTick      = 500 * micros.Millisecond
-	confirmDelay  = 20 * micros.Millisecond
 	commandWithin = 3 * micros.Second
-	rowTasks      = 32 // most tasks of a row; small rows spread a job over the parts
+	showWithin    = 1 * micros.Second
 )
 
 // Core is the actor that decides. All of its methods run on its own goroutine
@@ -97,29 +96,40 @@
 	catalogAt micros.T
 	catalogIn bool
 
-	confirms   []confirm
-	confirmSet bool
-
-	rows       map[string]*rowState // own bookkeeping beside the mirror, by row key
-	teamBusy   map[string]bool
+	askers     []asker // answers that wait for a mirror no older than their request
+	catching   bool    // a watch that doesn't wait is in flight for them
+	catchAt    micros.T
+	watchSent  micros.T // when the watch in flight was sent
+	liveShare  int      // live controllers that the budgets are shared by
+	pages      map[string]*pageState
+	fresh      map[string]*bookkeeping.Page // new pages that the mirror hasn't yet
+	pageSeq    int
+	turnAt     micros.T
+	takeAt     micros.T // when tasks may change their part again
+	ownAt      micros.T // when a machine's claimant may be changed again
+	dirty      bool     // a turn may find something to do
+	arrivals   map[string]*arrival
+	claiming   map[string]bool // pages being taken over
+	jobBusy    map[string]bool // jobs with a change of their record in flight
+	accepted   map[string]uint64
+	partBusy   bool
+	teamShort  map[string]shortage // what assignments lacked of a team's share
 	jobState   map[string]*jobState
-	bias       map[string]float64         // by class: log of run time over estimate, lately
-	outcomes   map[string]map[int]outcome // by row key, then index in the row
-	dirty      bool
-	placeAt    micros.T
+	bias       map[string]float64 // by class: log of run time over estimate, lately
 	leader     leaderState
-	redirected map[string]micros.T // machines we sent elsewhere, and when
-	claiming   map[string]bool
-	stateBusy  map[string]bool // machines with a change of state in flight
+	sightings  map[string]*sighting // workers of other parts that came to us
 	preempting map[string]*preemption
-	ghosts     map[string]micros.T // machines proven gone, and when
+	emptyAt    map[string]micros.T // own machines, since when they are empty
+	closedAt   map[string]micros.T
+	tendAt     micros.T
+	quietSaid  int
 	slowAt     micros.T
 	cloudGate  bookkeeping.Bucket
 	stats      stats
 }
 
 type stats struct {
-	accepted, placed, done, failed, conflicts int
+	accepted, placed, done, failed, conflicts, throttled int
 }
 
 // NewCore makes the actor's state.
@@ -128,10 +138,10 @@
 		cfg: cfg, set: set, env: env, log: log, node: cfg.Node,
 		inc:    env.Rand().Uint64()>>16 | 1,
 		peerOK: map[string]micros.T{}, peerSeen: map[string]micros.T{}, deadSince: map[string]micros.T{},
-		rows: map[string]*rowState{}, teamBusy: map[string]bool{}, jobState: map[string]*jobState{},
-		outcomes: map[string]map[int]outcome{}, redirected: map[string]micros.T{}, claiming: map[string]bool{},
-		stateBusy: map[string]bool{}, preempting: map[string]*preemption{}, bias: map[string]float64{},
-		ghosts: map[string]micros.T{},
+		pages: map[string]*pageState{}, fresh: map[string]*bookkeeping.Page{}, arrivals: map[string]*arrival{},
+		claiming: map[string]bool{}, jobBusy: map[string]bool{}, accepted: map[string]uint64{}, teamShort: map[string]shortage{},
+		jobState: map[string]*jobState{}, bias: map[string]float64{}, sightings: map[string]*sighting{},
+		preempting: map[string]*preemption{}, emptyAt: map[string]micros.T{}, closedAt: map[string]micros.T{},
 	}
 	c.all = append(c.all, cfg.Node)
 	for _, p := range cfg.Known {
@@ -139,23 +149,36 @@
 	}
 	sort.Strings(c.all)
 	c.view = newView(c.touched)
-	st := cfg.Facts.State
-	// A node's share is a good half: load is uneven, and a 429 costs only a pause.
-	share := max(0.5, 1/float64(len(c.all)))
-	c.queue = bookkeeping.Queue{
-		Reads:       bookkeeping.Bucket{Rate: st.RPS * share, Burst: max(2, st.RPS*share/2)},
-		Writes:      bookkeeping.Bucket{Rate: st.WriteRPS * share, Burst: max(float64(st.TxnOps), st.WriteRPS*share/2)},
-		MaxInFlight: 8,
-	}
-	// All watches together use at most a fifth of the store's requests.
-	c.watchGap = max(50*micros.Millisecond, micros.FromSeconds(float64(len(c.all))/(st.RPS*0.2)))
+	c.queue.MaxInFlight = 8
+	c.shareBudgets(len(c.all))
 	lease := micros.FromSeconds(cfg.Facts.Workers.LeaseS)
 	c.leaseTTL = min(max(lease/2, 4*micros.Second), 8*micros.Second)
+	// The leader alone calls the cloud, but for the catalogue.
 	c.cloudGate = bookkeeping.Bucket{Rate: cfg.Facts.Cloud.RPS * 0.8, Burst: max(1, cfg.Facts.Cloud.RPS)}
 	c.leader = newLeaderState(0)
 	return c
 }
 
+// shareBudgets sets this controller's part of the state service's limits. Load is
+// uneven, so each may use somewhat more than its share; a 429 costs only a pause.
+func (c *Core) shareBudgets(live int) {
+	live = max(1, min(live, len(c.all)))
+	if live == c.liveShare {
+		return
+	}
+	c.liveShare = live
+	st := c.cfg.Facts.State
+	share := min(1, 1.3/float64(live))
+	c.queue.Reads.Rate, c.queue.Reads.Burst = st.RPS*share, max(2, st.RPS*share/2)
+	c.queue.Writes.Rate, c.queue.Writes.Burst = st.WriteRPS*share, max(float64(st.TxnOps), st.WriteRPS*share/2)
+	// All watches together use at most a quarter of the store's requests.
+	c.watchGap = max(50*micros.Millisecond, micros.FromSeconds(float64(live)/(st.RPS*0.25)))
+}
+
+// pageRate is how many pages a second this controller may write: a good half of
+// its share of the changes, the rest is the users' and the leader's.
+func (c *Core) pageRate() float64 { return 0.55 * c.cfg.Facts.State.WriteRPS / float64(c.liveShare) }
+
 // Start begins the actor's work.
 func (c *Core) Start() {
 	c.log.Info("controller starting", "node", c.node, "incarnation", c.inc)
@@ -191,11 +214,9 @@
 	if !c.ready {
 		return
 	}
-	c.flushOutcomes(now)
-	if c.dirty && now >= c.placeAt {
-		c.dirty = false
-		c.place(now)
-		c.placeAt = pace(now, c.now(), 2*fastTick)
+	if c.dirty && now >= c.turnAt {
+		c.turn(now)
+		c.turnAt = max(c.turnAt, pace(now, c.now(), 2*fastTick))
 	}
 }
 
@@ -208,9 +229,13 @@
 	if !c.ready {
 		return
 	}
+	c.shareBudgets(len(c.live()))
 	c.keepMember()
 	c.election(now)
+	c.inherit(now)
 	c.tendMachines(now)
+	c.tendShares(now)
+	c.tendJobs()
 	c.dirty = true
 	c.lead(now)
 }
@@ -218,7 +243,22 @@
 // touched is called by the view for every change that it applied.
 func (c *Core) touched(kind, name string) {
 	switch kind {
-	case bookkeeping.KindRun, bookkeeping.KindOpen, bookkeeping.KindMachine:
+	case bookkeeping.KindOpen:
+		c.dirty = true
+		j := c.view.jobs[name]
+		if j == nil {
+			delete(c.jobState, name)
+			delete(c.preempting, name)
+			delete(c.accepted, name)
+			return
+		}
+		if !j.open() && j.held > 0 {
+			c.syncJob(j) // a cancellation reaches the workers at once
+		}
+	case bookkeeping.KindPage:
+		c.dirty = true
+		c.pageTouched(name)
+	case bookkeeping.KindAsk, bookkeeping.KindRemoval:
 		c.dirty = true
 	case bookkeeping.KindMember:
 		if c.isLive(name) {
@@ -228,34 +268,6 @@
 			c.log.Info("controller is no member any more", "member", name)
 		}
 	}
-	if kind == bookkeeping.KindOpen {
-		if j := c.view.jobs[name]; j == nil {
-			delete(c.jobState, name)
-			delete(c.preempting, name)
-			prefix := bookkeeping.Key(bookkeeping.KindRun, name+"/")
-			for k := range c.rows {
-				if len(k) > len(prefix) && k[:len(prefix)] == prefix {
-					delete(c.rows, k)
-				}
-			}
-			return
-		}
-		// A cancellation reaches the workers at once.
-		if j := c.view.jobs[name]; j.version != 0 && j.rec.Status != bookkeeping.Open && j.held > 0 {
-			c.syncJob(j)
-		}
-	}
-	if kind == bookkeeping.KindMachine {
-		if m := c.view.machines[name]; m != nil {
-			c.ownership(m)
-		}
-	}
-	// These records go only once the machine is proven gone. A report of it that
-	// was held back on its way must not bring it to life again: tasks were
-	// assigned to such a ghost.
-	if (kind == bookkeeping.KindMachine || kind == bookkeeping.KindRemoval) && c.view.versionOf(bookkeeping.Key(kind, name)) == 0 {
-		c.ghosts[name] = c.now()
-	}
 }
 
 // ---- calls of the store ----
@@ -283,6 +295,7 @@
 		c.env.Store(q.StoreCall, func(r protocol.StoreResult) {
 			c.queue.InFlight--
 			if r.Outcome == protocol.Throttled {
+				c.stats.throttled++
 				if c.now()-q.Since < 3*micros.Second {
 					c.queue.Back(q, c.now())
 					c.pump()
@@ -317,7 +330,7 @@
 	if down {
 		c.log.Info("state service trouble begins", "silent_ms", (now - c.storeOKAt).Millis())
 	} else {
-		c.log.Info("state service trouble ends", "waiting_outcomes", len(c.outcomes))
+		c.log.Info("state service trouble ends")
 	}
 }
 
@@ -337,6 +350,20 @@
 	return "", false
 }
 
+// isolated tells whether we reach neither the store nor any other controller:
+// then it is we who are cut off, and users are better served elsewhere.
+func (c *Core) isolated(now micros.T) bool {
+	if !c.storeDown || now-c.storeOKAt < 2*micros.Second || len(c.cfg.Known) == 0 {
+		return false
+	}
+	for _, p := range c.cfg.Known {
+		if c.heard(p.Node, now) {
+			return false
+		}
+	}
+	return true
+}
+
 // mustLapse tells whether we must let our workers' leases end. Cut off together
 // with its workers, a controller sees no cancellation, and every answer that it
 // gives keeps cancelled tasks running; the other controllers can't reach them. So
@@ -387,8 +414,8 @@
 	}
 	c.loading, c.ready = true, false
 	kinds := []string{
-		bookkeeping.KindAsk, bookkeeping.KindLead, bookkeeping.KindMachine, bookkeeping.KindMember,
-		bookkeeping.KindOpen, bookkeeping.KindRemoval, bookkeeping.KindRun, bookkeeping.KindTeam, bookkeeping.KindType,
+		bookkeeping.KindAsk, bookkeeping.KindLead, bookkeeping.KindMember, bookkeeping.KindOpen,
+		bookkeeping.KindPage, bookkeeping.KindPart, bookkeeping.KindRemoval, bookkeeping.KindType,
 	}
 	view := newView(func(string, string) {})
 	view.finals = c.view.finals
@@ -431,14 +458,14 @@
 			view.machines[id].w = m.w
 		}
 	}
-	view.watched, view.touched = first, c.touched
+	view.watched, view.newest, view.touched = first, max(last, c.view.newest), c.touched
 	c.view = view
 	c.loading, c.loaded, c.loadedUpTo = false, true, last
-	for _, id := range sortedKeys(view.machines) {
-		c.ownership(view.machines[id])
+	for _, name := range sortedKeys(view.pages) {
+		c.pageTouched(name)
 	}
 	c.watchAt = 0
-	c.log.Info("records read", "jobs", len(view.jobs), "machines", len(view.machines), "revision", last)
+	c.log.Info("records read", "jobs", len(view.jobs), "machines", len(view.machines), "pages", len(view.pages), "revision", last)
 	if first >= last {
 		c.becomeReady()
 	}
@@ -460,21 +487,72 @@
 	c.slowAt = 0
 }
 
+// asker waits for the mirror to be as new as its question.
+type asker struct {
+	since micros.T
+	back  func(ok bool)
+}
+
+// current calls back once the mirror holds all that the store held when it was
+// asked, or with false if the store can't be asked. One answer of the watch serves
+// all that wait: confirming each answer by itself cost a request for every few
+// dozen, and users of a thousand jobs ask a few hundred times a second.
+func (c *Core) current(back func(ok bool)) {
+	c.askers = append(c.askers, asker{c.now(), back})
+	if c.watching && c.now() >= c.catchAt && !c.catching {
+		c.catchUp()
+	}
+}
+
+// answerAskers serves those who came before a watch was sent that has answered.
+func (c *Core) answerAskers(sent micros.T, ok bool) {
+	n := 0
+	for n < len(c.askers) && c.askers[n].since <= sent {
+		n++
+	}
+	served := c.askers[:n:n]
+	c.askers = c.askers[n:]
+	for _, a := range served {
+		a.back(ok)
+	}
+}
+
 func (c *Core) keepWatch(now micros.T) {
-	if c.watching || c.loading || now < c.watchAt || !c.loaded {
+	if c.loading || !c.loaded {
 		return
 	}
-	c.watching = true
+	if !c.watching && now >= c.watchAt {
+		c.watching = true
+		block := watchBlock
+		if len(c.askers) > 0 {
+			block = 0
+		}
+		c.watchSent = now
+		c.watch(now, block, func() { c.watching = false })
+	} else if c.watching && len(c.askers) > 0 && c.watchSent < c.askers[0].since && now >= c.catchAt && !c.catching {
+		c.catchUp() // the one in flight was sent before they asked
+	}
+}
+
+// catchUp asks for the changes so far, beside a watch that waits for the next.
+func (c *Core) catchUp() {
+	c.catching = true
+	c.watch(c.now(), 0, func() { c.catching = false })
+	c.catchAt = c.now() + c.watchGap
+}
+
+func (c *Core) watch(now, block micros.T, ended func()) {
 	c.watchAt = now + c.watchGap
 	view := c.view
 	sc := &protocol.StoreCall{
 		Op: protocol.StoreWatch, Key: bookkeeping.Root, From: view.watched,
-		Block: watchBlock, Within: watchBlock + 2*micros.Second,
+		Block: block, Within: block + 2*micros.Second,
 	}
 	c.queue.Reads.Take(1)
 	c.env.Store(sc, func(r protocol.StoreResult) {
-		c.watching = false
+		ended()
 		if view != c.view {
+			c.answerAskers(now, false)
 			return
 		}
 		switch r.Outcome {
@@ -485,23 +563,28 @@
 			if !c.ready && c.view.watched >= c.loadedUpTo {
 				c.becomeReady()
 			}
+			c.answerAskers(now, c.ready)
 			if len(r.Events) > 0 && c.ready {
 				c.fast(c.now())
 			}
 		case protocol.TooOld:
 			c.log.Info("watch fell behind, reading all records again")
 			c.load()
+			c.answerAskers(now, false)
 		case protocol.Throttled:
-			c.watchAt = c.now() + 100*micros.Millisecond
+			c.watchAt = max(c.watchAt, c.now()+100*micros.Millisecond)
+			c.catchAt = c.watchAt
 		default:
 			c.noteStore(r.Outcome)
 			c.watchAt = c.now() + 300*micros.Millisecond + micros.T(c.env.Rand().Int64N(int64(300*micros.Millisecond)))
+			c.catchAt = c.watchAt
+			c.answerAskers(now, false)
 		}
 	})
 }
 
 // nudge has the other side of a conflict looked at soon.
-func (c *Core) nudge() { c.watchAt = min(c.watchAt, c.now()+fastTick/2) }
+func (c *Core) nudge() { c.watchAt = min(c.watchAt, max(c.now(), c.watchSent+50*micros.Millisecond)) }
 
 // ---- membership and leadership ----
 
@@ -676,6 +759,12 @@
 
 // Summary is one line about the node, for the log.
 func (c *Core) Summary() string {
-	return fmt.Sprintf("jobs %d machines %d members %d accepted %d placed %d done %d conflicts %d",
-		len(c.view.jobs), len(c.view.machines), len(c.view.members), c.stats.accepted, c.stats.placed, c.stats.done, c.stats.conflicts)
+	pages := 0
+	for _, p := range c.view.pages {
+		if c.owns(p) {
+			pages++
+		}
+	}
+	return fmt.Sprintf("jobs %d machines %d members %d pages %d accepted %d placed %d done %d conflicts %d throttled %d",
+		len(c.view.jobs), len(c.view.machines), len(c.view.members), pages, c.stats.accepted, c.stats.placed, c.stats.done, c.stats.conflicts, c.stats.throttled)
 }
--- /dev/null
+++ b/internal/coordination/pages.go
@@ -0,0 +1,530 @@
+package coordination
+
+import (
+	"fmt"
+
+	"pipitgap/internal/bookkeeping"
+	"pipitgap/internal/micros"
+	"pipitgap/internal/protocol"
+)
+
+// Bounds of pages and turns.
+const (
+	turnWait    = 600 * micros.Millisecond // a commit in flight holds the next turn up for so long
+	arrivalWait = 2500 * micros.Millisecond
+	machineRoom = 64 // bytes that a machine itself takes in a page
+	cpuRoom     = 8  // and what is kept free for a task on each of its CPUs
+	staleAfter  = 5 * micros.Second
+	bulkOfPage  = 0.6 // a page takes new machines up to this part of a value
+	mostOfPage  = 0.95
+)
+
+// pageState is what we note about one of our pages beside the mirror.
+type pageState struct {
+	busyAt micros.T // a commit of ours is in flight since then; 0: none
+	// What a commit without an answer may yet bring about: it was conditional on
+	// the version at, so once that is history nothing of it can follow.
+	floating *draft
+	at       uint64
+	staleAt  micros.T // since when it holds entries of jobs that are over
+}
+
+// arrival is a machine's worker that waits to be claimed by us.
+type arrival struct {
+	rep   protocol.Report
+	from  *page // of another part, if it has lost its owner
+	since micros.T
+	back  []func(ok bool)
+}
+
+// draft is a page as it will be written.
+type draft struct {
+	name    string
+	old     *page // nil: a new page
+	next    *bookkeeping.Page
+	changed bool
+	bound   int
+	txn     protocol.Txn // what else the commit asks and changes
+	conds   map[string]bool
+	freed   map[string]amount // by machine: released by this turn
+	taken   map[string]amount // by machine: assigned by this turn
+	use     map[string]amount // by team: assigned by this turn
+	tasks   map[taskRef]bool
+	jobs    map[string]bool
+	done    map[string]bool // jobs with tasks completed
+	arrived map[string]*arrival
+	told    map[string]bool // machines with something new to do
+}
+
+func (d *draft) version() uint64 {
+	if d.old == nil {
+		return 0
+	}
+	return d.old.version
+}
+
+func (d *draft) cond(key string, version uint64) {
+	if !d.conds[key] {
+		d.conds[key] = true
+		d.txn.If = append(d.txn.If, protocol.Cond{Key: key, Version: version})
+	}
+}
+
+func newDraft(name string, old *page, next *bookkeeping.Page) *draft {
+	return &draft{name: name, old: old, next: next, conds: map[string]bool{}, freed: map[string]amount{},
+		taken: map[string]amount{}, use: map[string]amount{}, tasks: map[taskRef]bool{}, jobs: map[string]bool{},
+		done: map[string]bool{}, arrived: map[string]*arrival{}, told: map[string]bool{}}
+}
+
+// owns tells whether a page is ours, in this life of ours.
+func (c *Core) owns(p *page) bool { return p.rec.Owner == c.node && p.rec.Incarnation == c.inc }
+
+func (c *Core) pageNotes(name string) *pageState {
+	s := c.pages[name]
+	if s == nil {
+		s = &pageState{}
+		c.pages[name] = s
+	}
+	return s
+}
+
+// pageTouched follows a change of a page: whose machines they are now, and that
+// what was in doubt about the version before is settled.
+func (c *Core) pageTouched(name string) {
+	p := c.view.pages[name]
+	if s := c.pages[name]; s != nil && s.floating != nil && (p == nil && s.at != 0 || p != nil && p.version != s.at) {
+		s.floating = nil
+	}
+	if p == nil {
+		delete(c.pages, name)
+		return
+	}
+	delete(c.fresh, name)
+	mine := c.owns(p)
+	for id := range p.rec.Machines {
+		if m := c.view.machines[id]; m != nil && (mine || m.w != nil) {
+			c.ownership(m)
+		}
+	}
+}
+
+// turn is a part's round over its pages: what has ended is taken off, waiting
+// tasks are given to what is free, machines come and go, and each page that
+// changed is written once. However many tasks start and end, that is what it
+// costs; when there is more to write than the state service takes, turns come
+// less often and each carries more.
+func (c *Core) turn(now micros.T) {
+	if c.storeDown || !c.leaseHeld(now) || c.partBusy {
+		return // assignments depend on the shares being written just now
+	}
+	for name, s := range c.pages {
+		if s.busyAt != 0 && now-s.busyAt < turnWait {
+			return // placing on some pages only would miss what the others have
+		}
+		if s.busyAt == 0 && s.floating == nil && c.view.pages[name] == nil && c.fresh[name] == nil {
+			delete(c.pages, name)
+		}
+	}
+	c.dirty = false
+	var ds []*draft
+	for _, name := range sortedKeys(c.view.pages) {
+		if p := c.view.pages[name]; c.owns(p) && c.pageNotes(name).busyAt == 0 {
+			ds = append(ds, c.draft(p, now))
+		}
+	}
+	for _, name := range sortedKeys(c.fresh) {
+		if s := c.pageNotes(name); s.busyAt == 0 {
+			d := newDraft(name, nil, c.fresh[name])
+			d.changed, d.next.Machines, d.next.Jobs = true, map[string]*bookkeeping.PageMachine{}, map[string]*bookkeeping.PageJob{}
+			d.bound = d.next.Bound()
+			ds = append(ds, d)
+		}
+	}
+	ds = c.admit(ds, now)
+	c.place(ds, now)
+	written := 0
+	for _, d := range ds {
+		if d.changed {
+			written++
+			c.write(d, now)
+		}
+	}
+	c.turnAt = now + max(2*fastTick, micros.FromSeconds(float64(written)/c.pageRate()))
+}
+
+// draft prepares the next version of a page: outcomes, machines proven gone,
+// states, and entries of jobs that are over.
+func (c *Core) draft(p *page, now micros.T) *draft {
+	d := newDraft(p.name, p, p.rec.Clone())
+	s := c.pageNotes(p.name)
+	d.changed = s.floating != nil // writing it anew settles what became of that
+	release := func(m *machine, ref taskRef, done bool) {
+		d.changed = true
+		d.next.Release(ref.job, ref.index, done)
+		if done {
+			d.done[ref.job] = true
+		}
+		if j := c.view.jobs[ref.job]; j != nil {
+			d.freed[m.id] = d.freed[m.id].plus(j.need, 1)
+		}
+	}
+	for _, id := range sortedKeys(p.rec.Machines) {
+		m := c.view.machines[id]
+		if m == nil || m.page != p {
+			continue
+		}
+		if r := c.view.removals[c.view.removal[id]]; r != nil && r.rec.Gone {
+			for ref := range m.tasks {
+				release(m, ref, false)
+			}
+			delete(d.next.Machines, id)
+			d.changed = true
+			continue
+		}
+		w := m.w
+		if w == nil {
+			continue
+		}
+		for k, o := range w.outcomes {
+			if m.tasks[k.ref] != k.attempt {
+				delete(w.outcomes, k) // written, or never ours
+				continue
+			}
+			release(m, k.ref, o == outDone)
+		}
+		if want := c.wanted(m); want != m.rec.State {
+			d.next.SetState(id, want)
+			d.changed = true
+		}
+	}
+	stale := 0
+	for id, e := range p.rec.Jobs {
+		if c.view.jobs[id] == nil && len(e.Held) == 0 && c.view.watched >= p.version {
+			delete(d.next.Jobs, id)
+			stale++
+		}
+	}
+	if stale == 0 {
+		s.staleAt = 0
+	} else if s.staleAt == 0 {
+		s.staleAt = now
+	} else if now-s.staleAt > staleAfter {
+		d.changed = true // else they go along with the next change
+	}
+	d.bound = d.next.Bound()
+	return d
+}
+
+func (c *Core) valueBytes() int { return int(c.cfg.Facts.State.ValueKB * 1024) }
+
+// machineBytes is the room that a machine of a type needs in a page.
+func (c *Core) machineBytes(typ string) int {
+	return machineRoom + cpuRoom*int(c.types[typ].CPUs)
+}
+
+// admit puts machines that have come up, or come over to us, into pages; it
+// opens a new page when no other has the room.
+func (c *Core) admit(ds []*draft, now micros.T) []*draft {
+	floating := map[string]bool{}
+	for _, s := range c.pages {
+		if s.floating != nil {
+			for id := range s.floating.arrived {
+				floating[id] = true
+			}
+		}
+	}
+	moved := map[string]*draft{} // page of another part: our page that takes from it
+	for _, id := range sortedKeys(c.arrivals) {
+		a := c.arrivals[id]
+		m := c.view.machines[id]
+		known := m != nil && m.rec != nil
+		if now-a.since > arrivalWait || known && m.w != nil || c.view.removal[id] != "" {
+			c.arrived(id, known && m.w != nil)
+			continue
+		}
+		if floating[id] {
+			continue
+		}
+		ask := c.view.asks[c.view.askOf[id]]
+		switch {
+		case known && (a.from == nil || a.from.name != m.page.name || c.claiming[m.page.name]):
+			continue // somebody else has it
+		case !known && (ask == nil || c.designated(ask, id) != c.node || c.view.watched < ask.version):
+			continue
+		}
+		need := c.machineBytes(a.rep.Type)
+		if known {
+			need += 40 * len(m.tasks)
+		}
+		var d *draft
+		if known {
+			d = moved[m.page.name]
+		}
+		if d == nil {
+			for _, o := range ds {
+				if _, taking := takes(o); known && taking {
+					continue // from another page already
+				}
+				if d == nil || o.bound < d.bound {
+					d = o
+				}
+			}
+		}
+		if d == nil || d.bound+need > int(bulkOfPage*float64(c.valueBytes())) {
+			if known && moved[m.page.name] != nil {
+				continue // the rest the next time
+			}
+			c.pageSeq++
+			name := fmt.Sprintf("%s.%x.%d", c.node, c.inc, c.pageSeq)
+			next := &bookkeeping.Page{Owner: c.node, Incarnation: c.inc, Claim: 1,
+				Machines: map[string]*bookkeeping.PageMachine{}, Jobs: map[string]*bookkeeping.PageJob{}}
+			c.fresh[name] = next
+			d = newDraft(name, nil, next)
+			d.bound = d.next.Bound()
+			ds = append(ds, d)
+		}
+		if len(d.txn.If) > 3*c.cfg.Facts.State.TxnOps {
+			continue
+		}
+		d.changed = true
+		d.bound += need
+		d.arrived[id] = a
+		if known {
+			moved[m.page.name] = d
+			c.moveOver(d, m, &a.rep)
+			continue
+		}
+		d.next.Add(id, bookkeeping.PageMachine{Type: a.rep.Type, Zone: a.rep.Zone, Spot: a.rep.Spot,
+			Endpoint: a.rep.Endpoint, State: bookkeeping.MachineOpen, Claim: a.rep.Token>>32 + 1})
+		d.cond(bookkeeping.Key(bookkeeping.KindAsk, c.view.askOf[id]), ask.version)
+	}
+	return ds
+}
+
+// takes names the page of another part that a draft takes machines from.
+func takes(d *draft) (string, bool) {
+	for _, op := range d.txn.Then {
+		if kind, name, _ := bookkeeping.SplitKey(op.Put); kind == bookkeeping.KindPage {
+			return name, true
+		}
+	}
+	return "", false
+}
+
+// moveOver takes a machine with all that is on it out of another part's page and
+// puts it into a draft, in one commit that both pages must agree to.
+func (c *Core) moveOver(d *draft, m *machine, rep *protocol.Report) {
+	from := m.page
+	key := bookkeeping.Key(bookkeeping.KindPage, from.name)
+	at := -1
+	left := from.rec
+	for i, op := range d.txn.Then {
+		if op.Put == key {
+			at = i
+			left, _ = bookkeeping.DecodePage(op.Value, nil)
+		}
+	}
+	left = left.Clone()
+	rec := *m.rec
+	rec.Endpoint = rep.Endpoint
+	rec.Claim = max(m.claim(), d.next.Claim) + 1
+	delete(left.Machines, m.id)
+	d.next.Add(m.id, rec)
+	use := map[string]amount{}
+	for ref, attempt := range m.tasks {
+		left.Release(ref.job, ref.index, false)
+		d.next.Assign(ref.job, bookkeeping.Held{Task: ref.index, Machine: m.id, Attempt: attempt})
+		if j := c.view.jobs[ref.job]; j != nil {
+			addUse(use, j.rec.Spec.Team, j.need, 1)
+		}
+	}
+	raw, _ := left.Encode()
+	if at >= 0 {
+		d.txn.Then[at].Value = raw
+	} else {
+		d.cond(key, from.version)
+		d.txn.Then = append(d.txn.Then, protocol.Op{Put: key, Value: raw})
+	}
+	c.moveShares(&d.txn, d.conds, from.rec.Owner, use)
+}
+
+// arrived tells those who wait for a machine's claim.
+func (c *Core) arrived(id string, ok bool) {
+	if a := c.arrivals[id]; a != nil {
+		delete(c.arrivals, id)
+		for _, f := range a.back {
+			f(ok)
+		}
+	}
+}
+
+// write commits a draft.
+func (c *Core) write(d *draft, now micros.T) {
+	s := c.pageNotes(d.name)
+	key := bookkeeping.Key(bookkeeping.KindPage, d.name)
+	if d.old == nil && len(d.next.Machines) == 0 && s.floating == nil {
+		delete(c.fresh, d.name)
+		return
+	}
+	t := d.txn
+	t.If = append([]protocol.Cond{{Key: key, Version: d.version()}}, t.If...)
+	if d.old != nil && len(d.next.Machines) == 0 && len(d.next.Jobs) == 0 {
+		t.Then = append(t.Then, protocol.Op{Delete: key})
+	} else {
+		raw, size := d.next.Encode()
+		if size > c.valueBytes() {
+			// The bound on what is assigned keeps this from happening.
+			c.log.Error("page too large for the state service", "page", d.name, "bytes", size)
+		}
+		t.Then = append(t.Then, protocol.Op{Put: key, Value: raw})
+	}
+	at := d.version()
+	s.busyAt, s.floating, s.at = max(now, 1), d, at
+	c.commit(bookkeeping.RankPage, t, func(r protocol.StoreResult) {
+		s.busyAt = 0
+		c.dirty = true
+		if r.Outcome != protocol.Unknown {
+			s.floating = nil
+		}
+		switch r.Outcome {
+		case protocol.OK:
+			c.stats.placed += len(d.tasks)
+			for id := range d.done {
+				c.finishIfComplete(id)
+			}
+			for _, id := range sortedKeys(d.arrived) {
+				c.arrived(id, true)
+			}
+			for _, id := range sortedKeys(d.told) {
+				if m := c.view.machines[id]; m != nil {
+					c.sync(m)
+				}
+			}
+			if len(d.tasks) > 0 || len(d.arrived) > 0 {
+				c.log.Debug("page written", "page", d.name, "assigned", len(d.tasks), "arrived", len(d.arrived), "bound", d.bound)
+			}
+		case protocol.Unknown:
+			if p := c.view.pages[d.name]; p == nil && at != 0 || p != nil && p.version != at {
+				s.floating = nil
+			}
+		case protocol.Conflict:
+			c.log.Debug("page not written", "page", d.name, "failed", r.Failed)
+			for _, k := range r.Failed {
+				// The next turn would decide on the same outdated record.
+				if kind, name, _ := bookkeeping.SplitKey(k); kind == bookkeeping.KindOpen {
+					c.jobNotes(name).until = max(c.jobNotes(name).until, c.now()+c.watchGap)
+				}
+			}
+			c.turnAt = max(c.turnAt, c.now()+c.watchGap/2)
+		case protocol.Rejected:
+			c.log.Error("state service rejects a page", "page", d.name)
+			c.turnAt = max(c.turnAt, c.now()+micros.Second)
+		default:
+			c.turnAt = max(c.turnAt, c.now()+300*micros.Millisecond)
+		}
+	})
+}
+
+// floatingTasks lists the tasks that a commit in doubt or in flight may have given
+// to a machine: until that is settled no other may.
+func (c *Core) floatingTasks() map[taskRef]bool {
+	out := map[taskRef]bool{}
+	for _, s := range c.pages {
+		if s.floating != nil {
+			for ref := range s.floating.tasks {
+				out[ref] = true
+			}
+		}
+	}
+	return out
+}
+
+// ---- pages whose owner has gone ----
+
+// inherit claims the pages of our earlier lives, and those of controllers that
+// have gone and whose heir we are: whole pages, many to a commit.
+func (c *Core) inherit(now micros.T) {
+	if c.storeDown || !c.leaseHeld(now) {
+		return
+	}
+	live := c.live()
+	heirless := map[string][]*page{}
+	for _, name := range sortedKeys(c.view.pages) {
+		p := c.view.pages[name]
+		if owner := p.rec.Owner; !c.claiming[name] && c.inherits(p, live, now) && c.view.watched >= p.version {
+			heirless[owner] = append(heirless[owner], p)
+		}
+	}
+	for _, owner := range sortedKeys(heirless) {
+		ps := heirless[owner]
+		most := c.cfg.Facts.State.TxnOps - 2 // beside two parts' shares
+		for len(ps) > 0 {
+			n := min(most, len(ps))
+			c.claim(owner, ps[:n])
+			ps = ps[n:]
+			if owner != c.node {
+				break // one commit at a time, the shares must not conflict
+			}
+		}
+	}
+}
+
+// inherits tells whether we are to claim a page whose owner has gone: an earlier
+// incarnation of ours, or another controller and we are its heir.
+func (c *Core) inherits(p *page, live []string, now micros.T) bool {
+	owner := p.rec.Owner
+	if owner == c.node {
+		return p.rec.Incarnation != c.inc
+	}
+	if c.isLive(owner) {
+		return false
+	}
+	since, ok := c.deadSince[owner]
+	if !ok {
+		c.deadSince[owner] = now
+		return false
+	}
+	return now-since > micros.Second && home(p.name, live) == c.node
+}
+
+// claim takes over pages of one owner: a conditional write that raises the claim
+// number, so that tokens of any earlier owner are outranked.
+func (c *Core) claim(owner string, ps []*page) {
+	t := protocol.Txn{}
+	use := map[string]amount{}
+	for _, p := range ps {
+		c.claiming[p.name] = true
+		rec := p.rec.Clone()
+		rec.Owner, rec.Incarnation = c.node, c.inc
+		for _, m := range rec.Machines {
+			rec.Claim = max(rec.Claim, m.Claim)
+		}
+		rec.Claim++
+		key := bookkeeping.Key(bookkeeping.KindPage, p.name)
+		raw, _ := rec.Encode()
+		t.If = append(t.If, protocol.Cond{Key: key, Version: p.version})
+		t.Then = append(t.Then, protocol.Op{Put: key, Value: raw})
+		for team, a := range p.use {
+			addUse(use, team, a, 1)
+		}
+	}
+	if owner != c.node {
+		c.moveShares(&t, map[string]bool{}, owner, use)
+	}
+	c.commit(bookkeeping.RankClaim, t, func(r protocol.StoreResult) {
+		machines := 0
+		for _, p := range ps {
+			delete(c.claiming, p.name)
+			if r.Outcome != protocol.OK {
+				continue
+			}
+			for _, id := range sortedKeys(p.rec.Machines) {
+				machines++
+				c.show(c.view.machines[id], owner == c.node)
+			}
+		}
+		if r.Outcome == protocol.OK {
+			c.log.Info("pages taken over", "from", owner, "pages", len(ps), "machines", machines)
+		}
+	})
+}
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -11,85 +11,86 @@
 
 // Bounds of one placement pass.
 const (
-	fullSearch  = 48 // with more machines than this a sample is looked at
-	sampleSize  = 24
-	rowsPerPass = 16 // rows of one job looked at in a pass
-	handPause   = 1 * micros.Second
+	fullSearch    = 48    // with more machines than this, and
+	fullWork      = 20000 // more jobs times machines than this, a sample is looked at
+	sampleSize    = 24
+	handPause     = 1 * micros.Second
+	mostOnMachine = 300 // tasks on a machine: what a report of 64 KiB can name
+	fairAfter     = micros.Minute
+	fairPart      = 8 // a job that got nothing for so long gets one of so many parts of it
 )
 
-// rowState is what a controller notes about a row beside the mirror.
-type rowState struct {
-	busy       bool // a commit of ours is in flight
-	pauseUntil micros.T
-	handedAt   micros.T
-}
-
-func (c *Core) row(key string) *rowState {
-	s := c.rows[key]
-	if s == nil {
-		s = &rowState{}
-		c.rows[key] = s
-	}
-	return s
-}
-
 // candidate is a machine with the room that a pass still has on it.
 type candidate struct {
 	m      *machine
+	rec    *bookkeeping.PageMachine
+	d      *draft // nil where only the room counts
 	free   amount
+	placed float64 // CPUs of services placed by this pass
+	tasks  int
 	closed bool // closing: reopened if nothing else has room
 	held   bool // kept for a more urgent job that hasn't room yet
 }
 
-// usable tells whether new tasks may go to a machine of ours.
+// usable tells whether new tasks may go to a machine of ours: it is open, its
+// worker has lately shown that our answers reach it, and nothing speaks against it.
 func (c *Core) usable(m *machine, now micros.T) bool {
 	w := m.w
-	if w == nil || w.lost || w.noticed || w.session == 0 || w.faulty() {
-		return false
-	}
-	if m.rec.State != bookkeeping.MachineOpen && m.rec.State != bookkeeping.MachineClosing {
+	if w == nil || w.session == 0 || !w.acked || w.lost || w.noticed || w.removing != "" || w.faulty() || !w.reached() {
 		return false
 	}
 	report := micros.FromSeconds(c.cfg.Facts.Workers.ReportS)
-	return now-w.heardAt < 2*report+micros.Second && c.view.watched >= w.claimVersion
+	return now-w.aliveAt < 2*report+micros.Second
 }
 
-// candidates lists our machines with room.
-func (c *Core) candidates(now micros.T) []*candidate {
+// candidates lists the machines of the drafts that may get tasks.
+func (c *Core) candidates(ds []*draft, now micros.T) []*candidate {
 	var out []*candidate
-	for _, id := range sortedKeys(c.view.machines) {
-		m := c.view.machines[id]
-		if m.version == 0 || !c.usable(m, now) {
-			continue
-		}
-		t, ok := c.types[m.rec.Type]
-		if !ok {
-			continue
+	for _, d := range ds {
+		for _, id := range sortedKeys(d.next.Machines) {
+			rec, m := d.next.Machines[id], c.view.machines[id]
+			if m == nil || m.rec == nil || rec.State != bookkeeping.MachineOpen || !c.usable(m, now) {
+				continue
+			}
+			t, ok := c.types[rec.Type]
+			if !ok {
+				continue
+			}
+			free := capacity(&t).plus(m.used, -1).plus(d.freed[id], 1).plus(d.taken[id], -1)
+			_, closed := c.closedAt[id]
+			out = append(out, &candidate{m: m, rec: rec, d: d, free: free, tasks: len(m.tasks), closed: closed})
 		}
-		free := capacity(&t).plus(m.used, -1).plus(m.w.reserved, -1)
-		out = append(out, &candidate{m: m, free: free, closed: m.rec.State == bookkeeping.MachineClosing})
 	}
 	return out
 }
 
 // mayRun tells whether a job's tasks may run on a machine.
-func mayRun(s *bookkeeping.Spec, m *bookkeeping.Machine) bool {
+func mayRun(s *bookkeeping.Spec, m *bookkeeping.PageMachine) bool {
 	return allowed(s, m.Type, m.Zone) && (s.Spot || !m.Spot)
 }
 
 // standing is a job's place in the order of urgency.
 type standing struct {
-	job   *job
-	slack float64 // seconds that it may still wait
-	late  bool    // long past its aim
-	owed  bool    // its team is within its guarantee
+	job    *job
+	slack  float64 // seconds that it may still wait
+	late   bool    // long past its aim
+	owed   bool    // its team is within its guarantee
+	hungry bool    // got nothing for long, see starved
 }
 
 // before orders jobs: higher priority first; of the same priority those first
 // whose team doesn't yet use its guarantee, then the least slack; last those that are long past their aim, the oldest of them first. Past what can be done, going by the deadline alone would
 // spend all machines on jobs that are late already and make every other late.
+// Before all other arrays, whatever their priority, comes one that has been
+// waiting in vain for long, with a part of its tasks.
 func (a standing) before(b standing) bool {
 	x, y := a.job, b.job
+	if a.hungry != b.hungry {
+		if a.hungry {
+			return !y.rec.Spec.Service
+		}
+		return x.rec.Spec.Service
+	}
 	if x.rec.Spec.Priority != y.rec.Spec.Priority {
 		return x.rec.Spec.Priority > y.rec.Spec.Priority
 	}
@@ -111,12 +112,12 @@
 // openJobs lists jobs with unplaced tasks, the most urgent first.
 func (c *Core) openJobs() []*job {
 	var all []standing
-	wall := c.env.Wall()
+	wall, now := c.env.Wall(), c.now()
 	for _, j := range c.view.jobs {
-		if j.open() && j.done+j.held < j.rec.Spec.Tasks {
+		if j.open() && j.waiting() > 0 {
 			slack := c.slack(j, wall)
 			late := slack+doubt*c.expected(&j.rec.Spec) < -0.5*c.within(&j.rec.Spec)
-			all = append(all, standing{j, slack, late, c.owed(j)})
+			all = append(all, standing{j, slack, late, c.owed(j), c.starved(j, now)})
 		}
 	}
 	sort.Slice(all, func(a, b int) bool { return all[a].before(all[b]) })
@@ -127,6 +128,28 @@
 	return out
 }
 
+// starved tells whether an array has got nothing for a long time: under lasting
+// load those that are late already, large or of low priority would never have
+// their turn, and a class, a team or the largest jobs would go unserved.
+func (c *Core) starved(j *job, now micros.T) bool {
+	if j.rec.Spec.Service {
+		return false
+	}
+	n := c.jobNotes(j.id)
+	if got := j.done + j.held; got > n.most || n.movedAt == 0 {
+		if n.movedAt == 0 { // first seen: it may have waited before we began
+			n.movedAt = max(1, now-micros.T(min(max(0, c.env.Wall()-j.rec.At), int64(2*fairAfter))))
+			if got > 0 {
+				n.movedAt = max(1, now)
+			}
+		} else {
+			n.movedAt = now
+		}
+		n.most = got
+	}
+	return now-n.movedAt > fairAfter
+}
+
 // owed tells whether one more task of a job lies within its team's guarantee.
 func (c *Core) owed(j *job) bool {
 	team, _ := c.team(j.rec.Spec.Team)
@@ -134,197 +157,163 @@
 	return use.cpus <= team.CPUs+slack && use.gpus <= team.GPUs+slack
 }
 
-// rowOwner names the part that places a chunk's pending tasks.
-func rowOwner(j *job, chunk int) string {
-	if r := j.rows[chunk]; r != nil && r.rec != nil {
-		return r.rec.Owner
-	}
-	return j.rec.Owner
-}
-
-// batch gathers the assignments of one team into one commit.
-type batch struct {
-	team  string
-	txn   protocol.Txn
-	conds map[string]bool
-	rows  []string
-	open  []string // fenced jobs
-	uses  map[*machine]amount
-}
-
-func (b *batch) cond(key string, version uint64) {
-	if !b.conds[key] {
-		b.conds[key] = true
-		b.txn.If = append(b.txn.If, protocol.Cond{Key: key, Version: version})
+// place gives pending tasks of our shares to machines of the drafts; where
+// nothing has room it makes some, or looks who could.
+func (c *Core) place(ds []*draft, now micros.T) {
+	if c.types == nil || !c.leaseHeld(now) {
+		return
 	}
-}
-
-// place gives pending tasks of our rows to our machines, and hands rows on
-// whose tasks fit here no more but elsewhere.
-func (c *Core) place(now micros.T) {
-	if c.types == nil || c.storeDown || !c.leaseHeld(now) {
+	jobs := c.openJobs()
+	if len(jobs) == 0 {
 		return
 	}
-	cands := c.candidates(now)
-	parts := c.partRooms()
+	cands := c.candidates(ds, now)
+	sample := len(cands) > fullSearch && len(cands)*len(jobs) > fullWork
+	floating := c.floatingTasks()
 	wall := c.env.Wall()
-	batches := map[string]*batch{}
-	var order []string
-	teamLeft := map[string]amount{}
-	st := c.cfg.Facts.State
-	for _, j := range c.openJobs() {
+	left := map[string]amount{} // of our share of limited teams
+	var parts *partRooms
+	partKey := bookkeeping.Key(bookkeeping.KindPart, c.node)
+	for _, j := range jobs {
 		spec := &j.rec.Spec
-		if s := c.jobState[j.id]; s != nil && now < s.until {
-			continue
-		}
-		team, _ := c.team(spec.Team)
-		if c.teamBusy[spec.Team] {
-			continue
-		}
-		openKey := bookkeeping.Key(bookkeeping.KindOpen, j.id)
-		fenced := spec.OneZone || spec.Spread
-		if fenced && c.row(openKey).busy {
+		notes := c.jobNotes(j.id)
+		if now < notes.until || c.jobBusy[j.id] || c.view.watched < j.version && c.accepted[j.id] != j.version {
 			continue
 		}
-		left, ok := teamLeft[spec.Team]
+		limit, _ := c.team(spec.Team)
+		room, ok := left[spec.Team]
 		if !ok {
-			left = team.left(c.view.teamUse[spec.Team])
-			teamLeft[spec.Team] = left
+			room = c.shareLeft(spec.Team)
 		}
+		most := spec.Tasks
+		if c.starved(j, now) {
+			most = max(1, spec.Tasks/fairPart)
+		}
+		fenced := spec.OneZone || spec.Spread
 		zones := newZoneRule(c.view, j)
-		looked := 0
-		for chunk := 0; chunk < j.chunks() && looked < rowsPerPass; chunk++ {
-			if owner := rowOwner(j, chunk); owner != c.node && !c.mayTake(j, owner, parts, wall) {
+		pending := 0
+		roomless, short := false, false
+		var only *draft // a fenced job's tasks go out by one commit at a time
+		var cd *candidate
+	shares:
+		for _, s := range j.rec.Shares {
+			if s.Part != c.node {
 				continue
 			}
-			var version uint64
-			pending := j.chunkSize(chunk)
-			if r := j.rows[chunk]; r != nil {
-				if r.rec == nil {
+			for i := s.First; i < s.End; i++ {
+				if j.state[i] != 0 {
 					continue
 				}
-				version, pending = r.version, r.pending
-			}
-			if pending == 0 {
-				continue
-			}
-			key := bookkeeping.RowKey(j.id, chunk)
-			rs := c.row(key)
-			if rs.busy || now < rs.pauseUntil {
-				continue
-			}
-			looked++
-			next := &bookkeeping.Row{Owner: c.node, Tasks: make([]bookkeeping.Task, j.chunkSize(chunk))}
-			if version != 0 {
-				next = j.rows[chunk].rec.Clone()
-				next.Owner = c.node
-			}
-			ours := rowOwner(j, chunk) == c.node
-			b := batches[spec.Team]
-			if b == nil {
-				b = &batch{team: spec.Team, conds: map[string]bool{}, uses: map[*machine]amount{}}
-				batches[spec.Team] = b
-				order = append(order, spec.Team)
-				if team.limited() {
-					tk := bookkeeping.Key(bookkeeping.KindTeam, spec.Team)
-					b.cond(tk, c.view.teams[spec.Team])
-					b.txn.Then = append(b.txn.Then, protocol.Op{Put: tk,
-						Value: protocol.MustMarshal(&bookkeeping.TeamFence{Count: c.view.teams[spec.Team] + 1})})
+				if floating[taskRef{j.id, i}] {
+					if fenced {
+						break shares
+					}
+					continue
 				}
-			}
-			// A row needs its own put, at most one machine reopened a task, and a fence.
-			if len(b.txn.Then)+2 > st.TxnOps || len(b.txn.If)+4 > 4*st.TxnOps {
-				break
-			}
-			placed, limited, roomless := 0, false, false
-			for i := range next.Tasks {
-				task := &next.Tasks[i]
-				if task.State != bookkeeping.TaskPending {
+				pending++
+				if roomless || short || most == 0 {
 					continue
 				}
-				if !j.need.fits(left) {
-					limited = true
-					break
+				if !j.need.fits(room) {
+					short = true
+					continue
 				}
-				if len(b.txn.If)+4 > 4*st.TxnOps {
-					limited = true
-					break
+				if cd == nil || spec.Service || !j.need.fits(cd.free) || !zones.ok(cd.rec.Zone) || cd.tasks >= mostOnMachine ||
+					cd.d.bound+2*bookkeeping.TaskBound(i) > c.pageLimit() {
+					cd = c.choose(j, cands, zones, only, sample)
 				}
-				cd := c.choose(j, cands, zones, b, st.TxnOps)
 				if cd == nil {
 					roomless = true
-					break
+					continue
 				}
-				if spec.Service && !cd.m.images[spec.Image] && !c.waited(j, wall) && c.preempt(j, 1, zones, true, now) {
+				if spec.Service && !cd.m.images[spec.Image] && !c.waited(j, wall) && c.preempt(j, 1, zones, cands, true, now) {
 					// Room is being made beside the image: sooner than a fetch.
-					limited = true
-					break
+					most = 0
+					continue
+				}
+				d := cd.d
+				if !d.jobs[j.id] {
+					d.jobs[j.id] = true
+					d.bound += len(j.id) + 4
+					d.cond(bookkeeping.Key(bookkeeping.KindOpen, j.id), j.version)
 				}
-				if cd.closed {
-					cd.closed = false
-					rec := cd.m.rec
-					rec.State = bookkeeping.MachineOpen
-					b.txn.Then = append(b.txn.Then, protocol.Op{Put: bookkeeping.Key(bookkeeping.KindMachine, cd.m.id),
-						Value: protocol.MustMarshal(&rec)})
+				if limit.limited() {
+					d.cond(partKey, c.view.versionOf(partKey))
 				}
+				d.bound += 2*bookkeeping.TaskBound(i) + 12
+				d.changed = true
+				d.next.Assign(j.id, bookkeeping.Held{Task: i, Machine: cd.m.id, Attempt: c.view.newest})
+				d.tasks[taskRef{j.id, i}] = true
+				d.taken[cd.m.id] = d.taken[cd.m.id].plus(j.need, 1)
+				addUse(d.use, spec.Team, j.need, 1)
+				d.told[cd.m.id] = true
+				delete(c.closedAt, cd.m.id)
+				cd.closed = false
 				cd.free = cd.free.plus(j.need, -1)
-				left = left.plus(j.need, -1)
-				b.uses[cd.m] = b.uses[cd.m].plus(j.need, 1)
-				b.cond(bookkeeping.Key(bookkeeping.KindMachine, cd.m.id), cd.m.version)
-				cd.m.images[spec.Image] = true
-				zones.add(cd.m.rec.Zone, 1)
-				task.State, task.Machine = bookkeeping.TaskAssigned, cd.m.id
-				task.Attempt++
-				placed++
-			}
-			teamLeft[spec.Team] = left
-			handTo := ""
-			if roomless && !spec.Service {
-				c.holdFor(j, cands, zones, (pending-placed+len(c.all)-1)/len(c.all))
-			}
-			if roomless && ours && !spec.Service && wall-j.rec.At > int64(owedAfter) && c.guaranteed(j) {
-				if !c.preempt(j, min(pending-placed, owedAtOnce), zones, false, now) && now-rs.handedAt > handPause {
-					handTo = parts.mostVictims(j, c.node)
+				cd.tasks++
+				if spec.Service {
+					cd.placed += j.need.cpus
 				}
-			}
-			if roomless && ours && spec.Service {
-				if !c.preempt(j, pending-placed, zones, false, now) && now-rs.handedAt > handPause {
-					handTo = parts.mostVictims(j, c.node)
+				cd.m.images[spec.Image] = true
+				room = room.plus(j.need, -1)
+				zones.add(cd.rec.Zone, 1)
+				if fenced {
+					only = d
 				}
+				pending--
+				most--
 			}
-			if placed == 0 && handTo == "" {
-				if roomless {
-					break // the job's other rows won't fit here either
-				}
-				if limited {
-					break
-				}
+		}
+		left[spec.Team] = room
+		if short {
+			c.lacks(spec.Team, j.need, pending, room)
+		}
+		if !roomless || pending == 0 {
+			continue
+		}
+		if !spec.Service {
+			c.holdFor(j, cands, zones, (pending+len(c.all)-1)/len(c.all))
+		}
+		// Room by stopping others' work: for a service, and for what a team's
+		// guarantee owes to a job that found no room for a while.
+		want := pending
+		if !spec.Service {
+			if wall-j.rec.At <= int64(owedAfter) || !c.guaranteed(j) {
 				continue
 			}
-			if handTo != "" {
-				rs.handedAt = now
-				next.Owner = handTo
-				c.log.Debug("row handed on", "row", key, "to", handTo, "pending", pending-placed)
-			}
-			b.cond(openKey, j.version)
-			b.cond(key, version)
-			b.txn.Then = append(b.txn.Then, protocol.Op{Put: key, Value: next.Encode()})
-			b.rows = append(b.rows, key)
-			if fenced && placed > 0 {
-				rec := j.rec
-				rec.Fence++
-				b.txn.Then = append(b.txn.Then, protocol.Op{Put: openKey, Value: protocol.MustMarshal(&rec)})
-				b.open = append(b.open, openKey)
-				break // one row of a fenced job a commit
+			want = min(pending, owedAtOnce)
+		}
+		if !c.preempt(j, want, zones, cands, false, now) && now-notes.handedAt > handPause {
+			if parts == nil {
+				parts = c.partRooms()
 			}
-			if limited {
-				break
+			if to := parts.mostVictims(j, c.node); to != "" {
+				notes.handedAt = now
+				c.handOver(j, to)
 			}
 		}
 	}
-	for _, team := range order {
-		c.assign(batches[team])
+	c.take(jobs, cands, left, now)
+}
+
+// pageLimit is how large a page may get by assignments.
+func (c *Core) pageLimit() int { return int(mostOfPage * float64(c.valueBytes())) }
+
+// lacks notes that a part's share of a team's limit keeps tasks waiting.
+func (c *Core) lacks(team string, need amount, tasks int, room amount) {
+	s, ok := c.teamShort[team]
+	least := amount{cpus: max(0, need.cpus-room.cpus), gpus: max(0, need.gpus-room.gpus)}
+	if math.IsInf(room.cpus, 1) {
+		least.cpus = 0
+	}
+	if math.IsInf(room.gpus, 1) {
+		least.gpus = 0
+	}
+	if !ok || least.cpus+least.gpus < s.least.cpus+s.least.gpus {
+		s.least = least
 	}
+	s.all = s.all.plus(need, float64(tasks))
+	c.teamShort[team] = s
 }
 
 // holdFor keeps the machines nearest to having room for a job from what is less
@@ -342,10 +331,10 @@
 	for ; n > 0; n-- {
 		var best *candidate
 		for _, cd := range cands {
-			if cd.held || !mayRun(&j.rec.Spec, &cd.m.rec) || !zones.ok(cd.m.rec.Zone) {
+			if cd.held || !mayRun(&j.rec.Spec, cd.rec) || !zones.ok(cd.rec.Zone) {
 				continue
 			}
-			t := c.types[cd.m.rec.Type]
+			t := c.types[cd.rec.Type]
 			if j.need.fits(capacity(&t)) && (best == nil || cd.free.cpus > best.free.cpus) {
 				best = cd
 			}
@@ -361,93 +350,25 @@
 // place.
 func (c *Core) waited(j *job, wall int64) bool { return wall-j.rec.At > int64(2*micros.Second) }
 
-// mayTake tells whether we may place tasks of another part's row: that part has
-// gone, has no room for them, or hasn't used what it seems to have. The row
-// becomes ours in the commit that assigns. That hands tasks on in one write, at
-// the time when there is room, and lets each part's room go to the most urgent
-// tasks of all.
-func (c *Core) mayTake(j *job, owner string, parts *partRooms, wall int64) bool {
-	if wall-j.rec.At > int64(micros.Second) || !c.isLive(owner) {
-		return true
-	}
-	return parts.room(&j.rec.Spec, owner) == 0
-}
-
-// assign commits a batch and then starts its tasks.
-func (c *Core) assign(b *batch) {
-	if len(b.rows) == 0 {
-		return
-	}
-	limit, _ := c.team(b.team)
-	if limit.limited() && len(b.uses) > 0 {
-		c.teamBusy[b.team] = true
-	}
-	if limit.limited() && len(b.uses) == 0 {
-		// Only handed on: the team's fence need not move.
-		b.txn.If, b.txn.Then = b.txn.If[1:], b.txn.Then[1:]
-	}
-	for _, k := range append(b.rows, b.open...) {
-		c.row(k).busy = true
-	}
-	for m, a := range b.uses {
-		m.w.reserved = m.w.reserved.plus(a, 1)
-	}
-	c.commit(bookkeeping.RankAssign, b.txn, func(r protocol.StoreResult) {
-		delete(c.teamBusy, b.team)
-		for _, k := range append(b.rows, b.open...) {
-			s := c.row(k)
-			s.busy = false
-			if r.Outcome != protocol.OK {
-				s.pauseUntil = c.now() + 60*micros.Millisecond
-			}
-		}
-		for m, a := range b.uses {
-			if m.w != nil {
-				m.w.reserved = m.w.reserved.plus(a, -1)
-				if m.w.reserved.cpus < slack {
-					m.w.reserved = amount{}
-				}
-			}
-		}
-		c.dirty = true
-		if r.Outcome != protocol.OK {
-			c.log.Debug("assignment not made", "team", b.team, "rows", len(b.rows), "outcome", r.Outcome.String(), "failed", r.Failed)
-			return
-		}
-		c.stats.placed += len(b.uses)
-		c.log.Debug("tasks assigned", "rows", b.rows, "machines", len(b.uses))
-		machines := make([]*machine, 0, len(b.uses))
-		for m := range b.uses {
-			machines = append(machines, m)
-		}
-		sort.Slice(machines, func(x, y int) bool { return machines[x].id < machines[y].id })
-		for _, m := range machines {
-			if m.w != nil {
-				c.sync(m)
-			}
-		}
-	})
-}
-
 // choose picks the machine for a task: spot before ordinary where the job may,
-// one that has the image, the tightest fit. With many machines it looks at a
-// sample.
-func (c *Core) choose(j *job, cands []*candidate, zones *zoneRule, b *batch, txnOps int) *candidate {
+// one that has the image, the tightest fit. Under overload it looks at a sample,
+// and at all before it says that there is no room.
+func (c *Core) choose(j *job, cands []*candidate, zones *zoneRule, only *draft, sample bool) *candidate {
 	var best *candidate
 	bestScore := math.Inf(1)
+	spec := &j.rec.Spec
+	notes := c.jobState[j.id]
+	limit, conds := c.pageLimit()-len(j.id)-32, 4*c.cfg.Facts.State.TxnOps-3
 	look := func(cd *candidate) {
-		spec := &j.rec.Spec
-		if !j.need.fits(cd.free) || !mayRun(spec, &cd.m.rec) || !zones.ok(cd.m.rec.Zone) {
+		if !j.need.fits(cd.free) || !mayRun(spec, cd.rec) || !zones.ok(cd.rec.Zone) || cd.tasks >= mostOnMachine ||
+			only != nil && cd.d != only || cd.d.bound > limit || len(cd.d.txn.If) >= conds && !cd.d.jobs[j.id] {
 			return
 		}
-		if s := c.jobState[j.id]; s != nil && s.failedOn[cd.m.id] {
-			return
-		}
-		if cd.closed && len(b.txn.Then)+4 > txnOps {
+		if notes != nil && notes.failedOn[cd.m.id] {
 			return
 		}
 		score := cd.free.cpus
-		if spec.Spot && !cd.m.rec.Spot {
+		if spec.Spot && !cd.rec.Spot {
 			score += 1e6
 		}
 		if cd.closed {
@@ -459,8 +380,8 @@
 		if spec.Service {
 			// Services last: kept together they leave other machines to empty. But
 			// not too many: all of them go down with their machine.
-			most := c.types[cd.m.rec.Type].CPUs / packedPart
-			if held := c.serviceCPUs(cd.m); held <= most {
+			most := c.types[cd.rec.Type].CPUs / packedPart
+			if held := c.serviceCPUs(cd); held <= most {
 				score -= 8 * held
 			} else {
 				score += 8 * (held - most)
@@ -470,32 +391,29 @@
 			best, bestScore = cd, score
 		}
 	}
-	if len(cands) <= fullSearch {
-		for _, cd := range cands {
-			look(cd)
+	if sample {
+		for i := 0; i < sampleSize; i++ {
+			look(cands[c.env.Rand().IntN(len(cands))])
 		}
-		return best
-	}
-	for i := 0; i < sampleSize; i++ {
-		look(cands[c.env.Rand().IntN(len(cands))])
-	}
-	if best == nil { // a full search before saying that there is no room
-		for _, cd := range cands {
-			look(cd)
+		if best != nil {
+			return best
 		}
 	}
+	for _, cd := range cands {
+		look(cd)
+	}
 	return best
 }
 
-// serviceCPUs tells what services hold of a machine.
-func (c *Core) serviceCPUs(m *machine) float64 {
+// serviceCPUs tells what services hold of a machine, with this pass's.
+func (c *Core) serviceCPUs(cd *candidate) float64 {
 	n := 0.0
-	for ref := range m.tasks {
+	for ref := range cd.m.tasks {
 		if j := c.view.jobs[ref.job]; j != nil && j.rec.Spec.Service {
 			n += j.need.cpus
 		}
 	}
-	return n
+	return n + cd.placed
 }
 
 // owedAfter is how long a job within a guarantee looks for free room first.
@@ -519,7 +437,8 @@
 }
 
 // zoneRule keeps one_zone and apart. It knows where the job's other tasks are;
-// the fence on the job's record keeps that knowledge exact at the commit.
+// such a job has one part at a time,
+// which assigns its tasks one commit after the other.
 type zoneRule struct {
 	oneZone, spread bool
 	most            int
@@ -532,14 +451,11 @@
 	if !z.oneZone && !z.spread {
 		return z
 	}
-	for _, r := range j.rows {
-		if r.rec == nil {
-			continue
-		}
-		for i := range r.rec.Tasks {
-			if t := &r.rec.Tasks[i]; t.State == bookkeeping.TaskAssigned {
-				if m := v.machines[t.Machine]; m != nil {
-					z.in[m.rec.Zone]++
+	for _, p := range v.pages {
+		if e := p.rec.Jobs[j.id]; e != nil {
+			for _, h := range e.Held {
+				if m := p.rec.Machines[h.Machine]; m != nil {
+					z.in[m.Zone]++
 				}
 			}
 		}
@@ -574,14 +490,15 @@
 
 func (c *Core) partRooms() *partRooms {
 	p := &partRooms{core: c, parts: map[string][]*candidate{}}
-	for _, id := range sortedKeys(c.view.machines) {
-		m := c.view.machines[id]
+	for _, m := range c.view.machines {
+		if m.rec == nil || m.rec.State != bookkeeping.MachineOpen || !c.isLive(m.owner()) {
+			continue
+		}
 		t, ok := c.types[m.rec.Type]
-		if !ok || m.version == 0 || !c.isLive(m.rec.Owner) ||
-			m.rec.State != bookkeeping.MachineOpen && m.rec.State != bookkeeping.MachineClosing {
+		if !ok {
 			continue
 		}
-		p.parts[m.rec.Owner] = append(p.parts[m.rec.Owner], &candidate{m: m, free: capacity(&t).plus(m.used, -1)})
+		p.parts[m.owner()] = append(p.parts[m.owner()], &candidate{m: m, rec: m.rec, free: capacity(&t).plus(m.used, -1)})
 	}
 	return p
 }
@@ -591,7 +508,7 @@
 	need := amount{s.CPUs, s.GPUs, s.MemoryGB}
 	n := 0
 	for _, cd := range p.parts[part] {
-		if mayRun(s, &cd.m.rec) {
+		if mayRun(s, cd.rec) {
 			n += need.count(cd.free)
 		}
 	}
@@ -630,7 +547,7 @@
 	need := amount{s.CPUs, s.GPUs, s.MemoryGB}
 	n := 0
 	for _, cd := range p.parts[part] {
-		if cd.m.images[s.Image] && mayRun(s, &cd.m.rec) {
+		if cd.m.images[s.Image] && mayRun(s, cd.rec) {
 			n += need.count(cd.free)
 		}
 	}
@@ -646,12 +563,12 @@
 	need := amount{s.CPUs, s.GPUs, s.MemoryGB}
 	n := 0
 	for _, cd := range p.parts[part] {
-		if !mayRun(s, &cd.m.rec) || beside && !cd.m.images[s.Image] {
+		if !mayRun(s, cd.rec) || beside && !cd.m.images[s.Image] {
 			continue
 		}
 		free := cd.free
 		for ref := range cd.m.tasks {
-			if v := p.core.view.jobs[ref.job]; v != nil && v.version != 0 && v.rec.Spec.Priority < s.Priority {
+			if v := p.core.view.jobs[ref.job]; v != nil && v.rec.Spec.Priority < s.Priority {
 				free = free.plus(v.need, 1)
 			}
 		}
@@ -678,7 +595,7 @@
 					free = free.plus(v.need, 1)
 				}
 			}
-			if mayRun(&j.rec.Spec, &cd.m.rec) && j.need.fits(free) {
+			if mayRun(&j.rec.Spec, cd.rec) && j.need.fits(free) {
 				r++
 			}
 		}
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -33,7 +33,7 @@
 // an array gains little by it and the work thrown away is paid for. It tells
 // whether room is being made. With beside, only machines that have the job's
 // image count, and only a small loss is worth it.
-func (c *Core) preempt(j *job, want int, zones *zoneRule, beside bool, now micros.T) bool {
+func (c *Core) preempt(j *job, want int, zones *zoneRule, cands []*candidate, beside bool, now micros.T) bool {
 	p := c.preempting[j.id]
 	if p != nil && now < p.until {
 		return true
@@ -43,9 +43,15 @@
 		var best *machine
 		var bestVictims []victim
 		bestLoss := 0.0
-		for _, cd := range c.candidates(now) {
+		// A sample of machines is enough when there are many: the loss hardly
+		// differs, and each look goes over all that runs there.
+		for i := 0; i < min(len(cands), fullSearch); i++ {
+			cd := cands[i]
+			if len(cands) > fullSearch {
+				cd = cands[c.env.Rand().IntN(len(cands))]
+			}
 			m := cd.m
-			if !mayRun(&j.rec.Spec, &m.rec) || !zones.ok(m.rec.Zone) || len(m.w.stopping) > 0 {
+			if !mayRun(&j.rec.Spec, cd.rec) || !zones.ok(cd.rec.Zone) || len(m.w.stopping) > 0 {
 				continue
 			}
 			vs, loss, ok := c.victimsOn(m, j, cd.free, now)
@@ -74,6 +80,7 @@
 	if made == 0 {
 		return false
 	}
+	c.dirty = true
 	c.preempting[j.id] = &preemption{made, now + preemptWait}
 	return true
 }
@@ -110,7 +117,7 @@
 	var all []victim
 	for ref, attempt := range m.tasks {
 		v := c.view.jobs[ref.job]
-		if v == nil || !v.open() || !c.mayStop(j, v) || c.settled(v, ref, attempt) {
+		if v == nil || !v.open() || !c.mayStop(j, v) || m.w.settled(attemptKey{ref, attempt}) {
 			continue
 		}
 		k := attemptKey{ref, attempt}
--- /dev/null
+++ b/internal/coordination/shares.go
@@ -0,0 +1,412 @@
+package coordination
+
+import (
+	"math"
+	"sort"
+
+	"pipitgap/internal/bookkeeping"
+	"pipitgap/internal/micros"
+	"pipitgap/internal/protocol"
+)
+
+// Bounds of how tasks move between parts.
+const (
+	mostShares = 40                // of one job; what a value holds
+	ownerGrace = 3 * micros.Second // an owner that seems to have room gets so long to use it
+)
+
+// ---- which part places which tasks ----
+
+// split divides a new job among the parts: whole to the one with most room, or
+// what the parts have room for, and the rest evenly. A job too large for any part
+// is so spread over all of them, and what binds stays in its own record.
+func (c *Core) split(spec *bookkeeping.Spec) []bookkeeping.Share {
+	n := spec.Tasks
+	live := c.live()
+	if n == 1 || spec.OneZone || spec.Spread || len(live) == 0 {
+		return []bookkeeping.Share{{First: 0, End: n, Part: c.roomiest(spec)}}
+	}
+	rooms := c.partRooms()
+	backlog := c.backlog()
+	type part struct {
+		name       string
+		room, size int
+	}
+	var parts []part
+	for _, p := range live {
+		r := rooms.room(spec, p) - int(math.Ceil(backlog[p]/max(spec.CPUs, 0.01)))
+		parts = append(parts, part{name: p, room: max(0, r)})
+	}
+	sort.SliceStable(parts, func(a, b int) bool { return parts[a].room > parts[b].room })
+	if n <= parts[0].room || spec.Service {
+		return []bookkeeping.Share{{First: 0, End: n, Part: c.roomiest(spec)}}
+	}
+	left := n
+	for i := range parts {
+		parts[i].size = min(left, parts[i].room)
+		left -= parts[i].size
+	}
+	for i := range parts {
+		k := (left + len(parts) - i - 1) / (len(parts) - i)
+		parts[i].size += k
+		left -= k
+	}
+	var out []bookkeeping.Share
+	at := 0
+	for _, p := range parts {
+		if p.size > 0 {
+			out = append(out, bookkeeping.Share{First: at, End: at + p.size, Part: p.name})
+			at += p.size
+		}
+	}
+	return out
+}
+
+// backlog is the CPUs that each part's waiting tasks will take.
+func (c *Core) backlog() map[string]float64 {
+	out := map[string]float64{}
+	for _, j := range c.view.jobs {
+		if !j.open() || j.waiting() == 0 {
+			continue
+		}
+		for _, s := range j.rec.Shares {
+			if len(j.rec.Shares) == 1 {
+				out[s.Part] += float64(j.waiting()) * j.need.cpus
+				break
+			}
+			for i := s.First; i < s.End; i++ {
+				if j.state[i] == 0 {
+					out[s.Part] += j.need.cpus
+				}
+			}
+		}
+	}
+	return out
+}
+
+// reshare gives a range of a job's tasks to a part. Whatever its owner assigned
+// before stands in the pages by then, whatever it would assign after fails on the
+// record's version; so the new owner may begin once its mirror has come that far.
+func (c *Core) reshare(j *job, first, end int, to string) bool {
+	if c.jobBusy[j.id] || len(j.rec.Shares) >= mostShares || c.now() < c.takeAt {
+		return false
+	}
+	rec := j.rec
+	rec.Shares = bookkeeping.Reshare(j.rec.Shares, first, end, to)
+	value := protocol.MustMarshal(&rec)
+	if 2*len(value) > c.valueBytes() {
+		return false
+	}
+	c.jobBusy[j.id] = true
+	// A change for each: what is spent here the pages lack.
+	c.takeAt = c.now() + micros.FromSeconds(float64(c.liveShare)/(0.1*c.cfg.Facts.State.WriteRPS))
+	key := bookkeeping.Key(bookkeeping.KindOpen, j.id)
+	c.commit(bookkeeping.RankPage, protocol.Txn{
+		If:   []protocol.Cond{{Key: key, Version: j.version}},
+		Then: []protocol.Op{{Put: key, Value: value}},
+	}, func(r protocol.StoreResult) {
+		delete(c.jobBusy, j.id)
+		c.dirty = true
+		if r.Outcome == protocol.OK {
+			c.log.Debug("tasks change their part", "job", j.id, "first", first, "end", end, "to", to)
+		}
+	})
+	return true
+}
+
+// take looks for waiting tasks of other parts that ours has room for: of parts
+// that have gone, have no room for them, or haven't used what they seem to have.
+// That hands tasks on in one write, at the time when there is room, and lets each
+// part's room go to the most urgent tasks of all.
+func (c *Core) take(jobs []*job, cands []*candidate, left map[string]amount, now micros.T) {
+	free := 0.0
+	for _, cd := range cands {
+		if !cd.held {
+			free += max(0, cd.free.cpus)
+		}
+	}
+	if free < slack || now < c.takeAt {
+		return
+	}
+	var rooms *partRooms
+	wall := c.env.Wall()
+	for _, j := range jobs {
+		spec := &j.rec.Spec
+		if len(j.rec.Shares) == 1 && j.rec.Shares[0].Part == c.node || j.need.cpus > free+slack ||
+			c.jobBusy[j.id] || now < c.jobNotes(j.id).until || c.view.watched < j.version {
+			continue
+		}
+		room := 0
+		for _, cd := range cands {
+			if !cd.held && mayRun(spec, cd.rec) {
+				room += j.need.count(cd.free)
+			}
+		}
+		if l, ok := left[spec.Team]; ok {
+			room = min(room, j.need.count(l))
+		}
+		if room == 0 {
+			continue
+		}
+		whole := spec.OneZone || spec.Spread
+		for k := len(j.rec.Shares) - 1; k >= 0; k-- {
+			s := j.rec.Shares[k]
+			if s.Part == c.node {
+				continue
+			}
+			if wall-j.rec.At < int64(ownerGrace) && c.isLive(s.Part) {
+				if rooms == nil {
+					rooms = c.partRooms()
+				}
+				if rooms.room(spec, s.Part) > 0 {
+					continue
+				}
+			}
+			n, first := 0, s.End
+			for first > s.First && (n < room || whole) {
+				first--
+				if j.state[first] == 0 {
+					n++
+				}
+			}
+			if n == 0 || whole && n > room && c.isLive(s.Part) {
+				continue
+			}
+			if c.reshare(j, first, s.End, c.node) {
+				return
+			}
+			break
+		}
+	}
+}
+
+// handOver gives our waiting tasks of a job to a part that can make room.
+func (c *Core) handOver(j *job, to string) {
+	for _, s := range j.rec.Shares {
+		if s.Part == c.node {
+			c.reshare(j, s.First, s.End, to)
+			return
+		}
+	}
+}
+
+// ---- what a part may use of the teams' limits ----
+
+// shortage is what assignments lacked of a part's share: for one task, and for all.
+type shortage struct{ least, all amount }
+
+// partShare is what a part may use of a team's limit.
+func (c *Core) partShare(part, team string) amount {
+	if p := c.view.parts[part]; p != nil {
+		a := p.rec.Shares[team]
+		return amount{cpus: a.CPUs, gpus: a.GPUs, mem: math.Inf(1)}
+	}
+	return amount{mem: math.Inf(1)}
+}
+
+// partUse is what attempts in our pages take of a team's limit, at most: what a
+// commit in doubt may have assigned counts as well.
+func (c *Core) partUse(team string) amount {
+	use := amount{}
+	for _, p := range c.view.pages {
+		if c.owns(p) {
+			use = use.plus(p.use[team], 1)
+		}
+	}
+	for _, s := range c.pages {
+		if s.floating != nil {
+			use = use.plus(s.floating.use[team], 1)
+		}
+	}
+	return use
+}
+
+// shareLeft is what this part may still assign for a team.
+func (c *Core) shareLeft(team string) amount {
+	limit, _ := c.team(team)
+	room := amount{math.Inf(1), math.Inf(1), math.Inf(1)}
+	if !limit.limited() {
+		return room
+	}
+	have, use := c.partShare(c.node, team), c.partUse(team)
+	if limit.CPUsMax > 0 {
+		room.cpus = have.cpus - use.cpus
+	}
+	if limit.GPUsMax > 0 {
+		room.gpus = have.gpus - use.gpus
+	}
+	return room
+}
+
+// pool is what no part has of a team's limit.
+func (c *Core) pool(team string) amount {
+	limit, _ := c.team(team)
+	room := limit.left(amount{})
+	for _, p := range c.view.parts {
+		a := p.rec.Shares[team]
+		room = room.plus(amount{cpus: a.CPUs, gpus: a.GPUs}, -1)
+	}
+	return room
+}
+
+// tendShares raises our shares where assignments lacked some, and gives back what
+// we don't use of a team whose limit is nearly handed out. A raise depends on the
+// records of all parts, a lowering on ours alone; either changes our record, on
+// which our assignments depend.
+func (c *Core) tendShares(now micros.T) {
+	if c.partBusy || c.storeDown || !c.leaseHeld(now) {
+		return
+	}
+	for _, s := range c.pages {
+		if s.busyAt != 0 {
+			return
+		}
+	}
+	key := bookkeeping.Key(bookkeeping.KindPart, c.node)
+	mine := c.view.parts[c.node]
+	next := bookkeeping.Part{Shares: map[string]bookkeeping.Amount{}}
+	version := uint64(0)
+	if mine != nil {
+		version = mine.version
+		for k, v := range mine.rec.Shares {
+			next.Shares[k] = v
+		}
+	}
+	raised, lowered := false, false
+	for i := range c.cfg.Facts.Teams {
+		team := c.cfg.Facts.Teams[i].Name
+		limit, _ := c.team(team)
+		if !limit.limited() {
+			continue
+		}
+		pool := c.pool(team)
+		// Some is kept: use goes up and down, and each change costs the others' too.
+		part := 0.2 / float64(c.liveShare)
+		margin := amount{cpus: part * limit.CPUsMax, gpus: part * limit.GPUsMax}
+		short, wants := c.teamShort[team]
+		if wants && (pool.cpus+slack < short.least.cpus || pool.gpus+slack < short.least.gpus) {
+			// Not enough for a single task here, and what we have left over may be
+			// what another part lacks: several such rests add up to a task.
+			wants, pool = false, amount{}
+			margin = amount{}
+		}
+		if wants {
+			// Half of an even part of what is left goes on top: a raise costs a
+			// change, and what one part has no other can use.
+			part := 1 / (2 * float64(c.liveShare))
+			a := next.Shares[team]
+			grow := func(have, short, pool float64) float64 {
+				return have + min(max(0, pool), max(short, 0)+max(0, pool-short)*part)
+			}
+			before := a
+			if limit.CPUsMax > 0 {
+				a.CPUs = grow(a.CPUs, short.all.cpus, pool.cpus)
+			}
+			if limit.GPUsMax > 0 {
+				a.GPUs = grow(a.GPUs, short.all.gpus, pool.gpus)
+			}
+			if a.CPUs > before.CPUs+slack || a.GPUs > before.GPUs+slack {
+				next.Shares[team] = a
+				raised = true
+			}
+			continue
+		}
+		if pool.cpus > 0.15*limit.CPUsMax && (limit.GPUsMax == 0 || pool.gpus > 0.15*limit.GPUsMax) || next.Shares[team] == (bookkeeping.Amount{}) {
+			continue
+		}
+		use := c.partUse(team)
+		a, before := next.Shares[team], next.Shares[team]
+		a.CPUs, a.GPUs = max(0, min(a.CPUs, use.cpus+margin.cpus)), max(0, min(a.GPUs, use.gpus+margin.gpus))
+		if a.CPUs < before.CPUs-slack-margin.cpus || a.GPUs < before.GPUs-slack-margin.gpus {
+			next.Shares[team] = a
+			lowered = true
+		}
+	}
+	clear(c.teamShort)
+	if !raised && !lowered {
+		return
+	}
+	t := protocol.Txn{
+		If:   []protocol.Cond{{Key: key, Version: version}},
+		Then: []protocol.Op{{Put: key, Value: protocol.MustMarshal(&next)}},
+	}
+	if raised {
+		names := map[string]bool{}
+		for _, n := range c.all {
+			names[n] = true
+		}
+		for n := range c.view.parts {
+			names[n] = true
+		}
+		for _, n := range sortedKeys(names) {
+			if n != c.node {
+				k := bookkeeping.Key(bookkeeping.KindPart, n)
+				t.If = append(t.If, protocol.Cond{Key: k, Version: c.view.versionOf(k)})
+			}
+		}
+	}
+	c.partBusy = true
+	c.commit(bookkeeping.RankPage, t, func(r protocol.StoreResult) {
+		c.partBusy = false
+		c.dirty = true
+	})
+}
+
+// moveShares has the shares of the teams' limits follow attempts that go over
+// from another part's pages into ours.
+func (c *Core) moveShares(t *protocol.Txn, conds map[string]bool, from string, use map[string]amount) {
+	theirs, mine := c.view.parts[from], c.view.parts[c.node]
+	if theirs == nil {
+		return // it never had any: none of its teams has a limit
+	}
+	keys := []string{bookkeeping.Key(bookkeeping.KindPart, from), bookkeeping.Key(bookkeeping.KindPart, c.node)}
+	next := []bookkeeping.Part{{Shares: map[string]bookkeeping.Amount{}}, {Shares: map[string]bookkeeping.Amount{}}}
+	for i, p := range []*partView{theirs, mine} {
+		if p != nil {
+			for k, v := range p.rec.Shares {
+				next[i].Shares[k] = v
+			}
+		}
+	}
+	puts := []int{-1, -1}
+	for i, op := range t.Then { // an earlier machine of the same commit
+		for k := range keys {
+			if op.Put == keys[k] {
+				puts[k] = i
+				var rec bookkeeping.Part
+				if protocol.Unmarshal(op.Value, &rec) == nil {
+					next[k] = rec
+				}
+			}
+		}
+	}
+	moved := false
+	for _, team := range sortedKeys(use) {
+		if limit, _ := c.team(team); !limit.limited() {
+			continue
+		}
+		moved = true
+		a, b := next[0].Shares[team], next[1].Shares[team]
+		a.CPUs, b.CPUs = max(0, a.CPUs-use[team].cpus), b.CPUs+use[team].cpus
+		a.GPUs, b.GPUs = max(0, a.GPUs-use[team].gpus), b.GPUs+use[team].gpus
+		next[0].Shares[team], next[1].Shares[team] = a, b
+	}
+	if !moved {
+		return
+	}
+	for k, key := range keys {
+		if next[k].Shares == nil {
+			next[k].Shares = map[string]bookkeeping.Amount{}
+		}
+		op := protocol.Op{Put: key, Value: protocol.MustMarshal(&next[k])}
+		if puts[k] >= 0 {
+			t.Then[puts[k]] = op
+			continue
+		}
+		if !conds[key] {
+			conds[key] = true
+			t.If = append(t.If, protocol.Cond{Key: key, Version: c.view.versionOf(key)})
+		}
+		t.Then = append(t.Then, op)
+	}
+}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -11,7 +11,7 @@
 // Bounds of what waits for the store on behalf of users; past them the answer
 // is an immediate 429.
 const (
-	mostConfirms = 512
+	mostAskers   = 2048
 	mostOpenJobs = 5000
 )
 
@@ -19,12 +19,6 @@
 // waits for an answer.
 func (c *Core) mostUserCalls() int { return max(4, int(c.queue.Writes.Rate*0.75)) }
 
-// confirm is an answer that waits until the store has confirmed the mirror.
-type confirm struct {
-	cond protocol.Cond
-	back func(ok bool, o protocol.Outcome)
-}
-
 func errorReply(status int, text string) Reply {
 	return Reply{Status: status, Body: protocol.MustMarshal(&protocol.ErrorBody{Error: text})}
 }
@@ -93,7 +87,9 @@
 	if !c.ready {
 		return c.later(503, "records not read yet")
 	}
-	if _, alone := c.refusedAlone(c.now()); alone {
+	now := c.now()
+	_, alone := c.refusedAlone(now)
+	if alone || c.isolated(now) {
 		return c.later(503, "state service out of reach")
 	}
 	return Reply{Status: 200}
@@ -107,17 +103,14 @@
 	return Reply{Status: 200, Body: protocol.MustMarshal(&protocol.Accepted{ID: id, Status: w})}
 }
 
-// current is the answer about a job that the mirror holds as unfinished.
-func (c *Core) current(id string) Reply {
-	if s, ok := c.view.finals.get(id); ok {
-		return c.final(id, s) // the mirror went on while the store was asked
+// standingOf is the answer about a job that the mirror holds.
+func (c *Core) standingOf(j *job) Reply {
+	if !j.open() {
+		return c.final(j.id, j.rec.Status)
 	}
-	st := protocol.JobStatus{ID: id, Status: protocol.JobPending}
-	if j := c.view.jobs[id]; j != nil {
-		st.Done, st.Running = j.done, j.held
-		if j.held > 0 {
-			st.Status = protocol.JobRunning
-		}
+	st := protocol.JobStatus{ID: j.id, Status: protocol.JobPending, Done: j.done, Running: j.held}
+	if j.held > 0 {
+		st.Status = protocol.JobRunning
 	}
 	return Reply{Status: 200, Body: protocol.MustMarshal(&st)}
 }
@@ -130,15 +123,24 @@
 	return Reply{Status: 200, Body: protocol.MustMarshal(&st)}
 }
 
-// busy tells whether the store can't take more for users; then the answer is
-// immediate.
-func (c *Core) busy() (Reply, bool) {
+// unready tells whether the store can't be asked for users at all; then the
+// answer is immediate.
+func (c *Core) unready() (Reply, bool) {
 	switch {
 	case !c.ready:
 		return c.later(503, "records not read yet"), true
 	case c.storeDown:
 		return c.later(503, "state service out of reach"), true
-	case c.queue.Waiting(bookkeeping.RankUser) >= c.mostUserCalls():
+	}
+	return Reply{}, false
+}
+
+// busy tells whether the store can't take more for users.
+func (c *Core) busy() (Reply, bool) {
+	if r, no := c.unready(); no {
+		return r, true
+	}
+	if c.queue.Waiting(bookkeeping.RankUser) >= c.mostUserCalls() {
 		return c.later(429, "too many requests"), true
 	}
 	return Reply{}, false
@@ -157,9 +159,9 @@
 	if bad != nil {
 		// A known job is known, whatever its repeated submission looks like. Only
 		// a node that can't ask gives the verdict on the text alone.
-		if r, no := c.busy(); no {
-			if r.Status == 503 && !c.ready {
-				answer(r)
+		if _, no := c.busy(); no {
+			if !c.ready {
+				answer(c.later(503, "records not read yet"))
 				return
 			}
 			answer(errorReply(400, bad.Error()))
@@ -172,7 +174,7 @@
 		answer(r)
 		return
 	}
-	if j := c.view.jobs[sub.ID]; j != nil && j.version != 0 {
+	if c.view.jobs[sub.ID] != nil {
 		c.onPoll(sub.ID, answer)
 		return
 	}
@@ -194,7 +196,7 @@
 
 // known answers with the job's state if the store knows it, else with other.
 func (c *Core) known(id string, other Reply, answer func(Reply)) {
-	c.read(id, func(r Reply) {
+	c.lookUp(id, func(r Reply) {
 		if r.Status == 404 {
 			r = other
 		}
@@ -251,40 +253,30 @@
 	return room
 }
 
-// chunkSize sizes rows to the store's values.
-func (c *Core) chunkSize() int {
-	bytes := c.cfg.Facts.State.ValueKB*1024 - 256
-	// A row's commit names every machine of the row in its conditions.
-	return max(1, min(rowTasks, 4*c.cfg.Facts.State.TxnOps-4, int(bytes/bookkeeping.RowTaskBytes)))
-}
-
 func (c *Core) accept(id string, spec bookkeeping.Spec, answer func(Reply)) {
-	rec := bookkeeping.OpenJob{Spec: spec, Status: bookkeeping.Open, At: c.env.Wall(), Chunk: c.chunkSize()}
-	rec.Owner = c.roomiest(&spec)
+	rec := bookkeeping.OpenJob{Spec: spec, Status: bookkeeping.Open, At: c.env.Wall(), Shares: c.split(&spec)}
 	value := protocol.MustMarshal(&rec)
 	// The stored form is counted as JSON: about twice the packed one here.
-	if float64(len(value)*2) > c.cfg.Facts.State.ValueKB*1024 {
+	if len(value)*2 > c.valueBytes() {
 		c.known(id, errorReply(400, "names too long to be kept"), answer)
 		return
 	}
-	jobKey, openKey := bookkeeping.Key(bookkeeping.KindJob, id), bookkeeping.Key(bookkeeping.KindOpen, id)
+	openKey := bookkeeping.Key(bookkeeping.KindOpen, id)
 	t := protocol.Txn{
-		If: []protocol.Cond{{Key: jobKey, Version: 0}},
-		Then: []protocol.Op{
-			{Put: jobKey, Value: protocol.MustMarshal(&bookkeeping.Answer{Status: bookkeeping.Open})},
-			{Put: openKey, Value: value},
-		},
+		If:   []protocol.Cond{{Key: openKey, Version: 0}, {Key: bookkeeping.Key(bookkeeping.KindJob, id), Version: 0}},
+		Then: []protocol.Op{{Put: openKey, Value: value}},
 	}
 	c.commit(bookkeeping.RankUser, t, func(r protocol.StoreResult) {
 		switch r.Outcome {
 		case protocol.OK:
 			c.stats.accepted++
-			c.log.Debug("job accepted", "job", id, "class", spec.Class, "tasks", spec.Tasks, "estimate_s", spec.EstimateS, "owner", rec.Owner)
+			// Nobody can have placed any of it yet.
+			c.accepted[id] = r.Revision
+			c.log.Debug("job accepted", "job", id, "class", spec.Class, "tasks", spec.Tasks, "estimate_s", spec.EstimateS, "shares", len(rec.Shares))
 			answer(Reply{Status: 201, Body: protocol.MustMarshal(&protocol.Accepted{ID: id, Status: protocol.JobPending})})
-			c.placeAt = 0
 			c.fast(c.now())
 		case protocol.Conflict:
-			c.read(id, answer)
+			c.lookUp(id, answer)
 		case protocol.Rejected:
 			c.log.Error("state service rejects an acceptance", "job", id)
 			answer(c.later(503, "not kept"))
@@ -295,28 +287,56 @@
 	})
 }
 
-// read answers from the store itself.
-func (c *Core) read(id string, answer func(Reply)) {
-	sc := &protocol.StoreCall{Op: protocol.StoreGet, Key: bookkeeping.Key(bookkeeping.KindJob, id)}
-	c.call(bookkeeping.RankUser, sc, func(r protocol.StoreResult) {
-		switch r.Outcome {
-		case protocol.OK:
+// lookUp answers from a mirror as new as the question. What it doesn't hold is
+// over, or was never accepted: the store itself is asked, first for the answer
+// that is kept for ever, then once more for the job, so that a record which this
+// mirror can't read is still known.
+func (c *Core) lookUp(id string, answer func(Reply)) {
+	if len(c.askers) >= mostAskers {
+		answer(c.later(429, "too many requests"))
+		return
+	}
+	c.current(func(ok bool) {
+		if !ok {
+			answer(c.later(503, "state service out of reach"))
+			return
+		}
+		if j := c.view.jobs[id]; j != nil {
+			answer(c.standingOf(j))
+			return
+		}
+		if s, ok := c.view.finals.get(id); ok {
+			answer(c.final(id, s))
+			return
+		}
+		if c.queue.Waiting(bookkeeping.RankUser) >= c.mostUserCalls() {
+			answer(c.later(429, "too many requests"))
+			return
+		}
+		get := func(kind string, back func(protocol.StoreResult)) {
+			c.call(bookkeeping.RankUser, &protocol.StoreCall{Op: protocol.StoreGet, Key: bookkeeping.Key(kind, id)}, back)
+		}
+		get(bookkeeping.KindJob, func(r protocol.StoreResult) {
 			var a bookkeeping.Answer
-			if protocol.Unmarshal(r.Item.Value, &a) != nil {
-				answer(c.later(503, "record not readable"))
-				return
-			}
-			if a.Status != bookkeeping.Open {
+			switch {
+			case r.Outcome == protocol.OK && protocol.Unmarshal(r.Item.Value, &a) == nil:
 				c.view.finals.add(id, a.Status)
 				answer(c.final(id, a.Status))
-				return
+			case r.Outcome == protocol.NotFound:
+				get(bookkeeping.KindOpen, func(r protocol.StoreResult) {
+					switch r.Outcome {
+					case protocol.OK:
+						answer(Reply{Status: 200, Body: protocol.MustMarshal(&protocol.JobStatus{ID: id, Status: protocol.JobPending})})
+					case protocol.NotFound:
+						answer(errorReply(404, "no such job"))
+					default:
+						answer(c.later(503, "state service out of reach"))
+					}
+				})
+			default:
+				answer(c.later(503, "state service out of reach"))
 			}
-			answer(c.current(id))
-		case protocol.NotFound:
-			answer(errorReply(404, "no such job"))
-		default:
-			answer(c.later(503, "state service out of reach"))
-		}
+		})
 	})
 }
 
@@ -329,80 +349,15 @@
 		answer(c.final(id, s))
 		return
 	}
-	if r, no := c.busy(); no {
-		answer(r)
+	if j := c.view.jobs[id]; j != nil && !j.open() {
+		answer(c.final(id, j.rec.Status))
 		return
 	}
-	if len(c.confirms) >= mostConfirms {
-		answer(c.later(429, "too many requests"))
+	if r, no := c.unready(); no {
+		answer(r)
 		return
 	}
-	cond := protocol.Cond{Key: bookkeeping.Key(bookkeeping.KindJob, id)}
-	if j := c.view.jobs[id]; j != nil && j.version != 0 {
-		if j.rec.Status != bookkeeping.Open {
-			answer(c.final(id, j.rec.Status))
-			return
-		}
-		cond = protocol.Cond{Key: bookkeeping.Key(bookkeeping.KindOpen, id), Version: j.version}
-	}
-	known := cond.Version != 0
-	c.confirm(cond, func(ok bool, o protocol.Outcome) {
-		switch {
-		case ok && known:
-			answer(c.current(id))
-		case ok:
-			answer(errorReply(404, "no such job"))
-		case o == protocol.Conflict:
-			c.read(id, answer)
-		default:
-			answer(c.later(503, "state service out of reach"))
-		}
-	})
-}
-
-// confirm compares a cached version with the store's, many in one request.
-func (c *Core) confirm(cond protocol.Cond, back func(bool, protocol.Outcome)) {
-	c.confirms = append(c.confirms, confirm{cond, back})
-	if !c.confirmSet {
-		c.confirmSet = true
-		c.env.After(confirmDelay, c.flushConfirms)
-	}
-}
-
-func (c *Core) flushConfirms() {
-	c.confirmSet = false
-	most := 4 * c.cfg.Facts.State.TxnOps
-	for len(c.confirms) > 0 {
-		n := min(most, len(c.confirms))
-		batch := c.confirms[:n:n]
-		c.confirms = c.confirms[n:]
-		t := protocol.Txn{}
-		seen := map[string]bool{}
-		for _, b := range batch {
-			if !seen[b.cond.Key] {
-				seen[b.cond.Key] = true
-				t.If = append(t.If, b.cond)
-			}
-		}
-		c.call(bookkeeping.RankUser, &protocol.StoreCall{Op: protocol.StoreCommit, Txn: t}, func(r protocol.StoreResult) {
-			failed := map[string]bool{}
-			for _, k := range r.Failed {
-				failed[k] = true
-			}
-			for _, b := range batch {
-				switch {
-				case r.Outcome == protocol.OK:
-					b.back(true, r.Outcome)
-				case r.Outcome == protocol.Conflict:
-					// One that isn't named was compared and held, but a conflict
-					// that names nothing has confirmed nothing.
-					b.back(len(failed) > 0 && !failed[b.cond.Key], r.Outcome)
-				default:
-					b.back(false, r.Outcome)
-				}
-			}
-		})
-	}
+	c.lookUp(id, answer)
 }
 
 func (c *Core) onAbort(id string, answer func(Reply)) {
@@ -414,12 +369,12 @@
 		answer(status(id, s))
 		return
 	}
-	if r, no := c.busy(); no {
+	if r, no := c.unready(); no {
 		answer(r)
 		return
 	}
-	if j := c.view.jobs[id]; j != nil && j.version != 0 {
-		c.cancel(id, j.rec, j.version, 4, answer)
+	if j := c.view.jobs[id]; j != nil {
+		c.cancel(j.id, j.rec, j.version, 4, answer)
 		return
 	}
 	c.cancelRead(id, 4, answer)
@@ -435,7 +390,7 @@
 			c.cancel(id, rec, r.Item.Version, tries, answer)
 		case r.Outcome == protocol.NotFound:
 			// Over, or never accepted: the kept answer tells.
-			c.read(id, func(rep Reply) {
+			c.lookUp(id, func(rep Reply) {
 				if s, ok := c.view.finals.get(id); ok {
 					rep = status(id, s)
 				} else if rep.Status == 200 {
@@ -451,20 +406,16 @@
 
 func (c *Core) cancel(id string, rec bookkeeping.OpenJob, version uint64, tries int, answer func(Reply)) {
 	if rec.Status != bookkeeping.Open {
-		c.view.finals.add(id, rec.Status)
 		answer(status(id, rec.Status))
 		return
 	}
 	rec.Status = bookkeeping.Cancelled
 	openKey := bookkeeping.Key(bookkeeping.KindOpen, id)
 	// The open record excludes done and cancelled from each other: whichever
-	// commit is first changes its version.
+	// commit is first changes its version. So do all assignments ask for it.
 	t := protocol.Txn{
-		If: []protocol.Cond{{Key: openKey, Version: version}},
-		Then: []protocol.Op{
-			{Put: bookkeeping.Key(bookkeeping.KindJob, id), Value: protocol.MustMarshal(&bookkeeping.Answer{Status: bookkeeping.Cancelled})},
-			{Put: openKey, Value: protocol.MustMarshal(&rec)},
-		},
+		If:   []protocol.Cond{{Key: openKey, Version: version}},
+		Then: []protocol.Op{{Put: openKey, Value: protocol.MustMarshal(&rec)}},
 	}
 	c.commit(bookkeeping.RankCancel, t, func(r protocol.StoreResult) {
 		switch {
--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -65,59 +65,80 @@
 type job struct {
 	id      string
 	rec     bookkeeping.OpenJob
-	version uint64 // 0: rows were seen, the job itself not yet, or no more
-	rows    map[int]*row
+	version uint64
 	need    amount
+	state   []uint8 // of each task, 0: pending; see heldUnit
 	done    int
-	held    int // assigned tasks
+	held    int // tasks with an attempt on some machine
 }
 
-func (j *job) open() bool { return j.version != 0 && j.rec.Status == bookkeeping.Open }
+// A task's state counts the pages that hold it and those that have it done. More
+// than one of either would be a mistake, but one that must not start a task twice.
+const (
+	heldUnit = 1
+	doneUnit = 16
+)
 
-// chunks tells how many rows the job's tasks make.
-func (j *job) chunks() int {
-	if j.rec.Chunk <= 0 {
-		return 0
-	}
-	return (j.rec.Spec.Tasks + j.rec.Chunk - 1) / j.rec.Chunk
-}
+func (j *job) open() bool { return j.rec.Status == bookkeeping.Open }
+
+// waiting counts the tasks without an attempt.
+func (j *job) waiting() int { return j.rec.Spec.Tasks - j.done - j.held }
 
-// chunkSize tells how many tasks a row has.
-func (j *job) chunkSize(c int) int {
-	return min(j.rec.Chunk, j.rec.Spec.Tasks-c*j.rec.Chunk)
+// complete tells whether every task is done.
+func (j *job) complete() bool { return j.done == j.rec.Spec.Tasks }
+
+// pendingOf counts the pending tasks that a part is to place.
+func (j *job) pendingOf(part string) int {
+	n := 0
+	for _, s := range j.rec.Shares {
+		if s.Part == part {
+			for i := s.First; i < s.End; i++ {
+				if j.state[i] == 0 {
+					n++
+				}
+			}
+		}
+	}
+	return n
 }
 
-// row is a chunk in the mirror. raw waits in it while the job is unknown.
-type row struct {
-	rec     *bookkeeping.Row
-	raw     protocol.Raw
+// page is a page in the mirror.
+type page struct {
+	name    string
+	rec     *bookkeeping.Page
 	version uint64
-	pending int
-	done    int
+	use     map[string]amount // by team, what its attempts take
 }
 
 // machine is a claimed machine in the mirror, with what its tasks take.
 type machine struct {
-	id      string
-	rec     bookkeeping.Machine
-	version uint64
-	used    amount
-	tasks   map[taskRef]uint32 // attempts that the store holds here
-	images  map[string]bool    // images that tasks have brought here, as far as we saw
-	w       *worker            // only while it is ours
+	id     string
+	page   *page
+	rec    *bookkeeping.PageMachine // nil: only its attempts are known still
+	used   amount
+	tasks  map[taskRef]uint64 // attempts that the store holds here
+	images map[string]bool    // images that tasks have brought here, as far as we saw
+	w      *worker            // only while it is ours
 }
 
+func (m *machine) owner() string { return m.page.rec.Owner }
+func (m *machine) claim() uint64 { return m.page.rec.ClaimOf(m.rec) }
+
 // View is the mirror of the store with the sums that decisions need. Changes
 // reach it by the watch, in order, and by the core's own commits, which may be
 // ahead of the watch; versions keep each key from going back.
 type View struct {
 	watched  uint64 // the watch is complete up to here
+	newest   uint64 // the newest revision heard of in any way
 	jobs     map[string]*job
+	pages    map[string]*page
 	machines map[string]*machine
-	teams    map[string]uint64 // version of the fence
 	teamUse  map[string]amount
+	parts    map[string]*partView
 	asks     map[string]*askView
+	askOf    map[string]string // machine: the request that it came with
 	removals map[string]*removalView
+	removal  map[string]string // machine: the removal that names it
 	types    map[string]typeView
 	members  map[string]memberView
 	lead     bookkeeping.Lead
@@ -127,6 +148,11 @@
 	touched  func(kind, name string)
 }
 
+type partView struct {
+	rec     bookkeeping.Part
+	version uint64
+}
+
 type askView struct {
 	rec     bookkeeping.Ask
 	version uint64
@@ -149,10 +175,10 @@
 
 func newView(touched func(kind, name string)) *View {
 	return &View{
-		jobs: map[string]*job{}, machines: map[string]*machine{}, teams: map[string]uint64{},
-		teamUse: map[string]amount{}, asks: map[string]*askView{}, removals: map[string]*removalView{},
-		members: map[string]memberView{}, types: map[string]typeView{}, deleted: map[string]uint64{}, finals: newFinals(20000),
-		touched: touched,
+		jobs: map[string]*job{}, pages: map[string]*page{}, machines: map[string]*machine{}, teamUse: map[string]amount{},
+		parts: map[string]*partView{}, asks: map[string]*askView{}, askOf: map[string]string{},
+		removals: map[string]*removalView{}, removal: map[string]string{}, types: map[string]typeView{},
+		members: map[string]memberView{}, deleted: map[string]uint64{}, finals: newFinals(20000), touched: touched,
 	}
 }
 
@@ -167,16 +193,14 @@
 		if j := v.jobs[name]; j != nil {
 			return j.version
 		}
-	case bookkeeping.KindRun:
-		if id, c, ok := bookkeeping.SplitRow(name); ok && v.jobs[id] != nil && v.jobs[id].rows[c] != nil {
-			return v.jobs[id].rows[c].version
+	case bookkeeping.KindPage:
+		if p := v.pages[name]; p != nil {
+			return p.version
 		}
-	case bookkeeping.KindMachine:
-		if m := v.machines[name]; m != nil {
-			return m.version
+	case bookkeeping.KindPart:
+		if p := v.parts[name]; p != nil {
+			return p.version
 		}
-	case bookkeeping.KindTeam:
-		return v.teams[name]
 	case bookkeeping.KindAsk:
 		if a := v.asks[name]; a != nil {
 			return a.version
@@ -195,129 +219,169 @@
 	return 0
 }
 
-// put applies a change unless the mirror is newer already.
+// put applies one change, see apply.
 func (v *View) put(key string, value protocol.Raw, version uint64) {
-	if version <= v.versionOf(key) || version <= v.deleted[key] {
-		return
+	v.apply([]protocol.Event{{Put: key, Value: value, Version: version}}, false)
+}
+
+// drop applies a deletion.
+func (v *View) drop(key string, version uint64, own bool) {
+	v.apply([]protocol.Event{{Delete: key, Version: version}}, own)
+}
+
+// apply brings the changes of one revision into the mirror, each unless the
+// mirror is newer already. Pages are taken out before any is put in: a machine
+// that moves from one to another must not be counted out after it was counted in.
+// own: it is a commit of ours, which may be ahead of the watch.
+func (v *View) apply(events []protocol.Event, own bool) {
+	type change struct {
+		kind, name string
+		e          protocol.Event
+		next       *page
 	}
-	delete(v.deleted, key)
-	kind, name, _ := bookkeeping.SplitKey(key)
+	var todo []change
+	for _, e := range events {
+		v.newest = max(v.newest, e.Version)
+		key := e.Put + e.Delete
+		kind, name, ok := bookkeeping.SplitKey(key)
+		if !ok {
+			continue
+		}
+		if e.Put == "" && own && e.Version > v.watched {
+			v.deleted[key] = e.Version
+		}
+		if have := v.versionOf(key); e.Version < have || e.Put != "" && (e.Version <= have || e.Version <= v.deleted[key]) || e.Put == "" && have == 0 {
+			continue
+		}
+		if e.Put != "" {
+			delete(v.deleted, key)
+		}
+		ch := change{kind: kind, name: name, e: e}
+		if kind == bookkeeping.KindPage {
+			old := v.pages[name]
+			if e.Put != "" {
+				var before *bookkeeping.Page
+				if old != nil {
+					before = old.rec
+				}
+				rec, err := bookkeeping.DecodePage(e.Value, before)
+				if err != nil {
+					continue
+				}
+				ch.next = &page{name: name, rec: rec, version: e.Version}
+			}
+			v.pageOut(old, ch.next)
+		}
+		todo = append(todo, ch)
+	}
+	for _, ch := range todo {
+		switch {
+		case ch.next != nil:
+			v.pageIn(v.pages[ch.name], ch.next)
+		case ch.kind == bookkeeping.KindPage:
+			delete(v.pages, ch.name)
+		case ch.e.Put != "":
+			v.set(ch.kind, ch.name, ch.e)
+		default:
+			v.unset(ch.kind, ch.name)
+		}
+		v.touched(ch.kind, ch.name)
+	}
+}
+
+// set applies a put of any record but a page.
+func (v *View) set(kind, name string, e protocol.Event) {
 	switch kind {
 	case bookkeeping.KindJob:
 		var a bookkeeping.Answer
-		if protocol.Unmarshal(value, &a) == nil && a.Status != bookkeeping.Open {
+		if protocol.Unmarshal(e.Value, &a) == nil {
 			v.finals.add(name, a.Status)
 		}
 	case bookkeeping.KindOpen:
+		j := v.jobs[name]
 		var rec bookkeeping.OpenJob
-		if protocol.Unmarshal(value, &rec) != nil || rec.Chunk <= 0 || rec.Spec.Tasks <= 0 {
+		if protocol.Unmarshal(e.Value, &rec) != nil || rec.Spec.Tasks <= 0 || rec.Spec.Tasks > protocol.MaxTasks ||
+			j != nil && rec.Spec.Tasks != j.rec.Spec.Tasks {
 			return
 		}
-		j := v.job(name)
-		v.unsum(j)
-		j.rec, j.version = rec, version
-		j.need = amount{rec.Spec.CPUs, rec.Spec.GPUs, rec.Spec.MemoryGB}
-		for c, r := range j.rows {
-			if r.rec == nil {
-				r.rec, _ = bookkeeping.DecodeRow(r.raw, max(0, j.chunkSize(c)))
-				r.raw = nil
-			}
-		}
-		v.sum(j)
-	case bookkeeping.KindRun:
-		id, c, ok := bookkeeping.SplitRow(name)
-		if !ok {
+		if j != nil {
+			j.rec, j.version = rec, e.Version
 			return
 		}
-		j := v.job(id)
-		r := &row{version: version}
-		if j.version == 0 {
-			r.raw = value
-			j.rows[c] = r
-			break
+		j = &job{id: name, rec: rec, version: e.Version, state: make([]uint8, rec.Spec.Tasks),
+			need: amount{rec.Spec.CPUs, rec.Spec.GPUs, rec.Spec.MemoryGB}}
+		v.jobs[name] = j
+		for _, p := range v.pages { // it may have been seen before its job
+			v.sum(p, name, 1)
 		}
-		rec, err := bookkeeping.DecodeRow(value, max(0, j.chunkSize(c)))
-		if err != nil {
-			return
-		}
-		r.rec = rec
-		v.sumRow(j, c, -1)
-		j.rows[c] = r
-		v.sumRow(j, c, 1)
-	case bookkeeping.KindMachine:
-		var rec bookkeeping.Machine
-		if protocol.Unmarshal(value, &rec) != nil {
-			return
+	case bookkeeping.KindPart:
+		p := &partView{version: e.Version}
+		if protocol.Unmarshal(e.Value, &p.rec) == nil {
+			v.parts[name] = p
 		}
-		m := v.machine(name)
-		m.rec, m.version = rec, version
-	case bookkeeping.KindTeam:
-		v.teams[name] = version
 	case bookkeeping.KindAsk:
-		a := &askView{version: version}
-		if protocol.Unmarshal(value, &a.rec) == nil {
+		a := &askView{version: e.Version}
+		if protocol.Unmarshal(e.Value, &a.rec) == nil {
+			v.unset(kind, name)
 			v.asks[name] = a
+			for _, id := range a.rec.Machines {
+				v.askOf[id] = name
+			}
 		}
 	case bookkeeping.KindRemoval:
-		r := &removalView{version: version}
-		if protocol.Unmarshal(value, &r.rec) == nil {
+		r := &removalView{version: e.Version}
+		if protocol.Unmarshal(e.Value, &r.rec) == nil {
+			v.unset(kind, name)
 			v.removals[name] = r
+			for _, id := range r.rec.Machines {
+				v.removal[id] = name
+			}
 		}
 	case bookkeeping.KindType:
-		t := typeView{version: version}
-		if protocol.Unmarshal(value, &t.rec) == nil {
+		t := typeView{version: e.Version}
+		if protocol.Unmarshal(e.Value, &t.rec) == nil {
 			v.types[name] = t
 		}
 	case bookkeeping.KindMember:
-		m := memberView{version: version}
-		if protocol.Unmarshal(value, &m.rec) == nil {
+		m := memberView{version: e.Version}
+		if protocol.Unmarshal(e.Value, &m.rec) == nil {
 			v.members[name] = m
 		}
 	case bookkeeping.KindLead:
 		var l bookkeeping.Lead
-		if protocol.Unmarshal(value, &l) == nil {
-			v.lead, v.leadVer = l, version
+		if protocol.Unmarshal(e.Value, &l) == nil {
+			v.lead, v.leadVer = l, e.Version
 		}
 	}
-	v.touched(kind, name)
 }
 
-// drop applies a deletion. own: it is a commit of ours, ahead of the watch.
-func (v *View) drop(key string, version uint64, own bool) {
-	if own && version > v.watched {
-		v.deleted[key] = version
-	}
-	have := v.versionOf(key)
-	if have == 0 || have > version {
-		return
-	}
-	kind, name, _ := bookkeeping.SplitKey(key)
+// unset applies a deletion of any record but a page.
+func (v *View) unset(kind, name string) {
 	switch kind {
 	case bookkeeping.KindOpen:
-		j := v.jobs[name]
-		v.unsum(j)
-		j.version = 0
-		// Rows go with their job, in the same commit or before it.
-		delete(v.jobs, name)
-	case bookkeeping.KindRun:
-		id, c, _ := bookkeeping.SplitRow(name)
-		j := v.jobs[id]
-		v.sumRow(j, c, -1)
-		delete(j.rows, c)
-		if j.version == 0 && len(j.rows) == 0 {
-			delete(v.jobs, id)
-		}
-	case bookkeeping.KindMachine:
-		m := v.machines[name]
-		m.version = 0
-		if len(m.tasks) == 0 {
-			delete(v.machines, name)
+		for _, p := range v.pages {
+			v.sum(p, name, -1)
 		}
-	case bookkeeping.KindTeam:
-		delete(v.teams, name)
+		delete(v.jobs, name)
+	case bookkeeping.KindPart:
+		delete(v.parts, name)
 	case bookkeeping.KindAsk:
+		if a := v.asks[name]; a != nil {
+			for _, id := range a.rec.Machines {
+				if v.askOf[id] == name {
+					delete(v.askOf, id)
+				}
+			}
+		}
 		delete(v.asks, name)
 	case bookkeeping.KindRemoval:
+		if r := v.removals[name]; r != nil {
+			for _, id := range r.rec.Machines {
+				if v.removal[id] == name {
+					delete(v.removal, id)
+				}
+			}
+		}
 		delete(v.removals, name)
 	case bookkeeping.KindType:
 		delete(v.types, name)
@@ -326,115 +390,151 @@
 	case bookkeeping.KindLead:
 		v.lead, v.leadVer = bookkeeping.Lead{}, 0
 	}
-	v.touched(kind, name)
 }
 
-// applyTxn brings an own commit that succeeded into the mirror.
-func (v *View) applyTxn(t *protocol.Txn, revision uint64) {
-	for _, op := range t.Then {
-		if op.Put != "" {
-			v.put(op.Put, op.Value, revision)
-		} else {
-			v.drop(op.Delete, revision, true)
+// pageOut takes out of the sums what a page has and its next version hasn't.
+func (v *View) pageOut(old, next *page) {
+	if old == nil {
+		return
+	}
+	for id, e := range old.rec.Jobs {
+		if next == nil || next.rec.Jobs[id] != e {
+			v.sum(old, id, -1)
+		}
+	}
+	for id := range old.rec.Machines {
+		m := v.machines[id]
+		if (next == nil || next.rec.Machines[id] == nil) && m != nil && m.page == old {
+			m.page, m.rec, m.w = nil, nil, nil
+			v.forget(m)
 		}
 	}
 }
 
-// applyEvents brings the result of a watch into the mirror.
-func (v *View) applyEvents(events []protocol.Event, revision uint64) {
-	for _, e := range events {
-		if e.Put != "" {
-			v.put(e.Put, e.Value, e.Version)
-		} else {
-			v.drop(e.Delete, e.Version, false)
-		}
+// pageIn puts into the sums what a page's version before hasn't.
+func (v *View) pageIn(old, next *page) {
+	if old != nil {
+		next.use = old.use
+	} else {
+		next.use = map[string]amount{}
 	}
-	if revision > v.watched {
-		v.watched = revision
+	v.pages[next.name] = next
+	for id, rec := range next.rec.Machines {
+		m := v.machine(id)
+		m.page, m.rec = next, rec
 	}
-	for k, ver := range v.deleted {
-		if ver <= v.watched {
-			delete(v.deleted, k)
+	for id, e := range next.rec.Jobs {
+		if old == nil || old.rec.Jobs[id] != e {
+			v.sum(next, id, 1)
 		}
 	}
 }
 
-func (v *View) job(id string) *job {
-	j := v.jobs[id]
-	if j == nil {
-		j = &job{id: id, rows: map[int]*row{}}
-		v.jobs[id] = j
+// sum counts what a page holds of a job in or out.
+func (v *View) sum(p *page, id string, sign int) {
+	e, j := p.rec.Jobs[id], v.jobs[id]
+	if e == nil || j == nil {
+		return
 	}
-	return j
+	for _, h := range e.Held {
+		if h.Task >= len(j.state) {
+			continue
+		}
+		ref := taskRef{id, h.Task}
+		m := v.machine(h.Machine)
+		if sign > 0 {
+			if j.state[h.Task]%doneUnit == 0 {
+				j.held++
+			}
+			j.state[h.Task] += heldUnit
+			m.tasks[ref] = h.Attempt
+			m.images[j.rec.Spec.Image] = true
+		} else {
+			j.state[h.Task] -= heldUnit
+			if j.state[h.Task]%doneUnit == 0 {
+				j.held--
+			}
+			delete(m.tasks, ref)
+		}
+		m.used = m.used.plus(j.need, float64(sign))
+		if len(m.tasks) == 0 {
+			m.used = amount{} // no rounding left behind
+		}
+		addUse(p.use, j.rec.Spec.Team, j.need, sign)
+		addUse(v.teamUse, j.rec.Spec.Team, j.need, sign)
+		v.forget(m)
+	}
+	e.Done.Each(func(i int) {
+		if i >= len(j.state) {
+			return
+		}
+		if sign > 0 {
+			if j.state[i] < doneUnit {
+				j.done++
+			}
+			j.state[i] += doneUnit
+		} else {
+			j.state[i] -= doneUnit
+			if j.state[i] < doneUnit {
+				j.done--
+			}
+		}
+	})
 }
 
-func (v *View) machine(id string) *machine {
-	m := v.machines[id]
-	if m == nil {
-		m = &machine{id: id, tasks: map[taskRef]uint32{}, images: map[string]bool{}}
-		v.machines[id] = m
+func addUse(use map[string]amount, team string, need amount, sign int) {
+	u := use[team].plus(need, float64(sign))
+	if u.cpus < slack && u.gpus < slack && u.mem < slack {
+		delete(use, team)
+	} else {
+		use[team] = u
 	}
-	return m
 }
 
-func (v *View) sum(j *job) {
-	for c := range j.rows {
-		v.sumRow(j, c, 1)
+// forget drops a machine that stands in no page and holds nothing.
+func (v *View) forget(m *machine) {
+	if m.rec == nil && len(m.tasks) == 0 {
+		delete(v.machines, m.id)
 	}
 }
 
-func (v *View) unsum(j *job) {
-	if j.version == 0 {
-		return
-	}
-	for c := range j.rows {
-		v.sumRow(j, c, -1)
+// applyTxn brings an own commit that succeeded into the mirror.
+func (v *View) applyTxn(t *protocol.Txn, revision uint64) {
+	events := make([]protocol.Event, 0, len(t.Then))
+	for _, op := range t.Then {
+		events = append(events, protocol.Event{Put: op.Put, Value: op.Value, Delete: op.Delete, Version: revision})
 	}
+	v.apply(events, true)
 }
 
-// sumRow adds or takes away what a row's tasks use.
-func (v *View) sumRow(j *job, c int, sign float64) {
-	r := j.rows[c]
-	if r == nil || r.rec == nil {
-		return
+// applyEvents brings the result of a watch into the mirror.
+func (v *View) applyEvents(events []protocol.Event, revision uint64) {
+	for len(events) > 0 {
+		n := 1
+		for n < len(events) && events[n].Version == events[0].Version {
+			n++
+		}
+		v.apply(events[:n], false)
+		events = events[n:]
 	}
-	r.pending, r.done = 0, 0
-	for i := range r.rec.Tasks {
-		t := &r.rec.Tasks[i]
-		switch t.State {
-		case bookkeeping.TaskDone:
-			r.done++
-			j.done += int(sign)
-		case bookkeeping.TaskPending:
-			r.pending++
-		case bookkeeping.TaskAssigned:
-			j.held += int(sign)
-			ref := taskRef{j.id, c*j.rec.Chunk + i}
-			m := v.machine(t.Machine)
-			m.used = m.used.plus(j.need, sign)
-			if sign > 0 {
-				m.tasks[ref] = t.Attempt
-				m.images[j.rec.Spec.Image] = true
-			} else {
-				delete(m.tasks, ref)
-				if len(m.tasks) == 0 {
-					m.used = amount{} // no rounding left behind
-					if m.version == 0 {
-						delete(v.machines, m.id)
-					}
-				}
-			}
-			team := j.rec.Spec.Team
-			use := v.teamUse[team].plus(j.need, sign)
-			if use.cpus < slack && use.gpus < slack && use.mem < slack {
-				delete(v.teamUse, team)
-			} else {
-				v.teamUse[team] = use
-			}
+	v.watched = max(v.watched, revision)
+	v.newest = max(v.newest, revision)
+	for k, ver := range v.deleted {
+		if ver <= v.watched {
+			delete(v.deleted, k)
 		}
 	}
 }
 
+func (v *View) machine(id string) *machine {
+	m := v.machines[id]
+	if m == nil {
+		m = &machine{id: id, tasks: map[taskRef]uint64{}, images: map[string]bool{}}
+		v.machines[id] = m
+	}
+	return m
+}
+
 // finals remembers final answers, the oldest forgotten first: whatever is
 // forgotten is read from the store again.
 type finals struct {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -11,13 +11,16 @@
 	"pipitgap/internal/protocol"
 )
 
-// ghostsFor is how long a deleted machine's late reports are still expected.
-const ghostsFor = 10 * micros.Minute
+// mostCommands bounds a batch to well under 64 KiB; the rest follows in the next.
+const mostCommands = 400
+
+// A worker waits so long for an answer before it turns to the next controller.
+const workerWaits = 4 * micros.Second
 
 // attemptKey names an attempt on a machine.
 type attemptKey struct {
 	ref     taskRef
-	attempt uint32
+	attempt uint64
 }
 
 // sent is what we have told a worker about an attempt.
@@ -26,33 +29,56 @@
 	kill                  uint64 // token of the first kill batch
 }
 
+// outcomeKind is what became of an attempt.
+type outcomeKind uint8
+
+const (
+	outDone  outcomeKind = iota // completed
+	outRetry                    // gone, the task is to be run again
+)
+
 // worker is what we know of a machine that we hold the claim on.
 type worker struct {
 	claim        uint64
-	claimVersion uint64 // the mirror must have caught up with the claim
 	counter      uint64
 	session, seq uint64
-	heardAt      micros.T // receipt of the last report that we answered
-	acked        bool     // it has seen our claim's token
-	lost         bool     // its lease has surely ended since heardAt
 	rep          map[attemptKey]protocol.TaskReport
 	repToken     uint64
-	sent         map[attemptKey]*sent
-	busy         bool // a direct batch is in flight
-	again        bool // and there is more to say afterwards
-	noticed      bool
-	stopping     map[attemptKey]bool     // preempted: to be stopped
-	since        map[attemptKey]micros.T // first seen running
-	failedJobs   map[string]bool
-	failed       int
-	drag         float64 // how much longer than expected tasks run here: log, smoothed
-	samples      int
-	reserved     amount
+	acked        bool // it has seen our claim's token
+
+	// What came as a check-in, and when. A copy of one that came before is never
+	// answered: it says nothing, and its answer would renew no lease.
+	checkSession, checkSeq uint64
+	checkAt                micros.T
+	answeredAt             micros.T // when we last answered one: its lease may run from there
+	aliveAt                micros.T // when it last showed that our answers reach it
+	asked                  uint64   // the token that it must show for that
+	answered               uint64   // the token of our last answer
+	misses                 int      // check-ins in a row without it
+	lost                   bool     // its lease has surely ended since answeredAt
+
+	outcomes   map[attemptKey]outcomeKind // not yet in the store
+	sent       map[attemptKey]*sent
+	busy       bool // a direct batch is in flight
+	again      bool // and there is more to say afterwards
+	noticed    bool
+	quiet      bool
+	removing   string                  // why it is to be given back
+	stopping   map[attemptKey]bool     // preempted: to be stopped
+	since      map[attemptKey]micros.T // first seen running
+	failedJobs map[string]bool
+	failed     int
+	drag       float64 // how much longer than expected tasks run here: log, smoothed
+	samples    int
 }
 
 func (w *worker) base() uint64  { return w.claim << 32 }
 func (w *worker) token() uint64 { return w.claim<<32 | w.counter }
 
+// reached tells whether the worker's last report showed that it takes up our
+// answers. A machine that is heard needn't be one that hears.
+func (w *worker) reached() bool { return w.repToken >= w.asked }
+
 // told gives the notes about an attempt.
 func (w *worker) told(k attemptKey) *sent {
 	s := w.sent[k]
@@ -63,20 +89,24 @@
 	return s
 }
 
-// outcomeKind is what became of an attempt.
-type outcomeKind uint8
-
-const (
-	outDone  outcomeKind = iota // completed
-	outRetry                    // gone, the task is to be run again
-)
+// settle notes what became of an attempt until the store has it. It must not be
+// forgotten before: a release that may still be applied must keep its attempt from
+// being started again.
+func (w *worker) settle(k attemptKey, o outcomeKind) {
+	if _, ok := w.outcomes[k]; !ok {
+		w.outcomes[k] = o
+	}
+}
 
-type outcome struct {
-	attempt uint32
-	machine string
-	kind    outcomeKind
+// settled tells whether an attempt has an outcome on its way to the store.
+func (w *worker) settled(k attemptKey) bool {
+	_, ok := w.outcomes[k]
+	return ok
 }
 
+// sighting is a worker of another part that came to us.
+type sighting struct{ first, last micros.T }
+
 // home is the live controller that a machine belongs to by rendezvous hashing.
 func home(machine string, live []string) string {
 	best, node := uint64(0), ""
@@ -95,16 +125,17 @@
 	return node
 }
 
-// ownership follows a change of a machine's record.
+// ownership follows a change of the page that a machine stands in.
 func (c *Core) ownership(m *machine) {
-	mine := m.version != 0 && m.rec.Owner == c.node && m.rec.Incarnation == c.inc
+	mine := m.page != nil && c.owns(m.page)
 	switch {
 	case !mine:
 		m.w = nil
-	case m.w == nil || m.w.claim != m.rec.Claim:
+	case m.w == nil || m.w.claim != m.claim():
+		now := c.now()
 		m.w = &worker{
-			claim: m.rec.Claim, claimVersion: m.version, heardAt: c.now(),
-			rep: map[attemptKey]protocol.TaskReport{}, sent: map[attemptKey]*sent{},
+			claim: m.claim(), asked: m.claim() << 32, checkAt: now, answeredAt: now, aliveAt: now,
+			rep: map[attemptKey]protocol.TaskReport{}, outcomes: map[attemptKey]outcomeKind{}, sent: map[attemptKey]*sent{},
 			stopping: map[attemptKey]bool{}, since: map[attemptKey]micros.T{}, failedJobs: map[string]bool{},
 		}
 	}
@@ -138,126 +169,230 @@
 		answer(errorReply(503, "cut off from the state service"))
 		return
 	}
-	if _, gone := c.ghosts[rep.Machine]; gone {
-		answer(errorReply(503, "machine has been given back"))
-		return
-	}
 	m := c.view.machines[rep.Machine]
-	if m != nil && m.version != 0 {
-		if m.rec.State == bookkeeping.MachineGone {
-			// A report from before the deletion that was held back.
-			answer(errorReply(503, "machine has been given back"))
-			return
-		}
-		if m.w != nil {
-			answer(c.report(m, &rep, true))
+	switch {
+	case m != nil && m.w != nil:
+		answer(c.report(m, &rep))
+	case c.view.removal[rep.Machine] != "":
+		// Deleted, or about to be: a report that was held back on its way must not
+		// bring it to life again. Tasks were assigned to such ghosts.
+		answer(errorReply(503, "machine is being given back"))
+	case m != nil && m.rec != nil:
+		c.stray(m, &rep, answer, now)
+	default:
+		c.newcomer(&rep, answer, now)
+	}
+}
+
+// seen notes a worker of another part, and tells when this run of visits began.
+func (c *Core) seen(id string, now micros.T) micros.T {
+	s := c.sightings[id]
+	if s == nil || now-s.last > 20*micros.Second {
+		s = &sighting{first: now}
+		c.sightings[id] = s
+	}
+	s.last = now
+	return s.first
+}
+
+// stray answers a worker whose machine is another part's. A worker stays with a
+// node that answers; one that comes to us has lost its owner, unless this is a
+// copy of an old report. We take the machine over if its owner can't be the one
+// who will be back for it in a moment, and the worker itself confirms its report.
+func (c *Core) stray(m *machine, rep *protocol.Report, answer func(Reply), now micros.T) {
+	owner := m.owner()
+	member, live := c.view.members[owner]
+	first := c.seen(m.id, now)
+	lease := micros.FromSeconds(c.cfg.Facts.Workers.LeaseS)
+	adopt := false
+	switch {
+	case owner == c.node:
+		c.inherit(now) // an earlier life of ours
+		answer(errorReply(503, "being claimed"))
+		return
+	case !live:
+		if h := home(m.page.name, c.live()); h != c.node {
+			answer(c.redirect(h))
 			return
 		}
+		c.inherit(now)
+		answer(errorReply(503, "being claimed"))
+		return
+	case member.rec.Incarnation != m.page.rec.Incarnation:
+		answer(c.redirect(owner)) // it has just come back and claims its pages
+		return
+	case c.heard(owner, now):
+		// It lives, and the worker had it and lost it: no use in waiting, its lease
+		// may not last for another round.
+		adopt = rep.Token >= m.claim()<<32 || now-first > 500*micros.Millisecond
+	default:
+		// Crashed, perhaps back in a moment; or cut off, then its membership ends.
+		adopt = now-first > lease/3
 	}
-	to := c.responsible(m, &rep, now)
-	if to != c.node {
-		c.redirected[rep.Machine] = now
-		answer(c.redirect(to))
+	if !adopt {
+		if c.heard(owner, now) {
+			answer(c.redirect(owner))
+		} else {
+			answer(c.redirect(""))
+		}
 		return
 	}
-	c.claim(rep.Machine, &rep, func(ok bool) {
-		if m := c.view.machines[rep.Machine]; ok && m != nil && m.w != nil {
-			answer(c.report(m, &rep, true))
+	from := m.page
+	c.verify(rep, true, func(ok bool) {
+		if !ok {
+			answer(c.redirect(owner))
 			return
 		}
-		answer(errorReply(503, "claim not made"))
+		c.arrive(rep, from, answer)
 	})
 }
 
-// responsible names the controller that a machine's worker should report to.
-func (c *Core) responsible(m *machine, rep *protocol.Report, now micros.T) string {
-	live := c.live()
-	if len(live) == 0 {
-		return c.node
-	}
-	at, again := c.redirected[rep.Machine]
-	again = again && now-at < 20*micros.Second && now-at > 500*micros.Millisecond
-	if m == nil || m.version == 0 {
-		h := home(rep.Machine, live)
-		if again {
-			// Sent there once and come back: it can't reach its home.
-			return c.node
-		}
-		return h
-	}
-	owner := m.rec.Owner
-	if owner == c.node {
-		return c.node // an earlier incarnation of ours
+// heard tells whether a peer spoke to us lately.
+func (c *Core) heard(peer string, now micros.T) bool {
+	at, ok := c.peerSeen[peer]
+	return ok && now-at < 3*slowTick
+}
+
+// verify asks a worker itself whether it stands where a report says. Copies of
+// reports come late, and a machine may be heard that can't be reached: neither may
+// cause a claim. exact: nothing may have passed since.
+func (c *Core) verify(rep *protocol.Report, exact bool, back func(ok bool)) {
+	c.env.Command(rep.Endpoint, nil, showWithin, func(r protocol.DoResult) {
+		s := &r.Report
+		back(r.Status == 200 && s.Machine == rep.Machine && s.Session == rep.Session && s.Seq > rep.Seq &&
+			(!exact || s.Seq <= rep.Seq+1))
+	})
+}
+
+// arrive has a machine taken into our pages by the next turn.
+func (c *Core) arrive(rep *protocol.Report, from *page, answer func(Reply)) {
+	a := c.arrivals[rep.Machine]
+	if a == nil {
+		a = &arrival{since: c.now()}
+		c.arrivals[rep.Machine] = a
 	}
-	if member, ok := c.view.members[owner]; ok {
-		// A worker stays with a node that answers. One that has seen its
-		// owner's token and comes to us has lost it; wait no longer, its lease
-		// may not last for another round.
-		if again || rep.Token >= m.rec.Claim<<32 && member.rec.Incarnation == m.rec.Incarnation {
-			return c.node
+	a.rep, a.from = *rep, from
+	a.back = append(a.back, func(ok bool) {
+		if m := c.view.machines[rep.Machine]; ok && m != nil && m.w != nil {
+			answer(c.report(m, rep))
+			return
 		}
-		return owner
-	}
-	if h := home(rep.Machine, live); !again {
-		return h
+		answer(errorReply(503, "claim not made"))
+	})
+	c.dirty = true
+}
+
+// designated names the controller that may claim a machine that comes up.
+func (c *Core) designated(a *askView, id string) string {
+	if to := a.rec.Own[id]; to != "" {
+		return to
 	}
-	return c.node
+	return home(id, a.rec.Live)
 }
 
-// claim takes a machine: a conditional write that raises the claim number, so
-// that tokens of any earlier owner are outranked.
-func (c *Core) claim(id string, rep *protocol.Report, back func(bool)) {
-	rec := bookkeeping.Machine{State: bookkeeping.MachineOpen}
-	var version uint64
-	if m := c.view.machines[id]; m != nil && m.version != 0 {
-		rec, version = m.rec, m.version
+// newcomer answers a worker whose machine no part has claimed yet.
+func (c *Core) newcomer(rep *protocol.Report, answer func(Reply), now micros.T) {
+	name := c.view.askOf[rep.Machine]
+	ask := c.view.asks[name]
+	if ask == nil {
+		// Its request isn't written yet, or it is one that nobody expects: the
+		// leader finds it in the cloud's list.
+		answer(c.redirect(""))
+		return
 	}
-	if rep != nil {
-		rec.Type, rec.Zone, rec.Spot, rec.Endpoint = rep.Type, rep.Zone, rep.Spot, rep.Endpoint
+	to := c.designated(ask, rep.Machine)
+	if to == c.node {
+		if c.view.watched < ask.version {
+			answer(c.redirect(""))
+			return
+		}
+		c.verify(rep, false, func(ok bool) {
+			if !ok {
+				answer(c.redirect(""))
+				return
+			}
+			c.arrive(rep, nil, answer)
+		})
+		return
 	}
-	if c.view.removals[id] != nil {
-		rec.State = bookkeeping.MachineRemoving
+	// It has nothing on it yet, so there is no hurry; a request that is rewritten
+	// makes the claims of all its other machines fail.
+	if first := c.seen(rep.Machine, now); now-first < micros.FromSeconds(c.cfg.Facts.Workers.LeaseS)/2 {
+		if c.isLive(to) {
+			answer(c.redirect(to))
+		} else {
+			answer(c.redirect("")) // the leader is about to name another
+		}
+		return
 	}
-	rec.Owner, rec.Incarnation = c.node, c.inc
-	rec.Claim++
-	key := bookkeeping.Key(bookkeeping.KindMachine, id)
-	t := protocol.Txn{
-		If:   []protocol.Cond{{Key: key, Version: version}},
-		Then: []protocol.Op{{Put: key, Value: protocol.MustMarshal(&rec)}},
+	// It was sent there and has come back: it can't reach it. Say in the request
+	// that it is ours; once that is written, nobody else's claim can follow.
+	answer(c.redirect(""))
+	key := bookkeeping.Key(bookkeeping.KindAsk, name)
+	if c.jobBusy[key] || now < c.ownAt {
+		return
 	}
-	c.commit(bookkeeping.RankClaim, t, func(r protocol.StoreResult) {
-		if r.Outcome == protocol.OK {
-			c.log.Debug("machine claimed", "machine", id, "claim", rec.Claim, "type", rec.Type, "zone", rec.Zone, "spot", rec.Spot)
+	c.ownAt = now + 2*micros.Second
+	c.jobBusy[key] = true
+	id := rep.Machine
+	c.verify(rep, false, func(ok bool) {
+		ask := c.view.asks[name]
+		if !ok || ask == nil {
+			delete(c.jobBusy, key)
+			return
 		}
-		back(r.Outcome == protocol.OK)
+		rec := ask.rec
+		rec.Own = map[string]string{id: c.node}
+		for k, v := range ask.rec.Own {
+			if k != id {
+				rec.Own[k] = v
+			}
+		}
+		c.commit(bookkeeping.RankRest, protocol.Txn{
+			If:   []protocol.Cond{{Key: key, Version: ask.version}},
+			Then: []protocol.Op{{Put: key, Value: protocol.MustMarshal(&rec)}},
+		}, func(protocol.StoreResult) { delete(c.jobBusy, key) })
 	})
 }
 
-// report applies a worker's report and gives the answer. checkin: it came to us
-// and our answer renews the lease.
-func (c *Core) report(m *machine, rep *protocol.Report, checkin bool) Reply {
+// report applies a worker's check-in and gives the answer.
+func (c *Core) report(m *machine, rep *protocol.Report) Reply {
 	w := m.w
 	now := c.now()
-	if checkin {
-		w.heardAt = now
-		if w.lost {
-			w.lost = false
-			c.log.Info("machine is back", "machine", m.id)
-		}
+	if rep.Session < w.checkSession || rep.Session == w.checkSession && rep.Seq <= w.checkSeq || rep.Session < w.session {
+		return errorReply(503, "seen before") // a late copy
+	}
+	gap := now - w.checkAt
+	w.checkSession, w.checkSeq, w.checkAt = rep.Session, rep.Seq, now
+	jumped := w.session != 0 && rep.Session > w.session
+	if rep.Session > w.session || rep.Seq > w.seq {
+		c.apply(m, rep)
 	}
-	fresh := rep.Session > w.session || rep.Session == w.session && rep.Seq > w.seq
-	if !fresh {
-		// A late copy. It proves nothing and gets no commands.
-		return Reply{Status: 200, Body: protocol.MustMarshal(&protocol.CheckinReply{Token: w.token(), Commands: []protocol.Command{}})}
+	w.answeredAt = now
+	if rep.Token < w.answered {
+		w.misses++
+	} else {
+		w.misses = 0
 	}
-	c.apply(m, rep)
 	cmds := c.commands(m, now)
+	pause := 2*micros.FromSeconds(c.cfg.Facts.Workers.ReportS) + micros.Second
+	if w.acked && (jumped || gap > pause || w.misses >= 2) && w.asked <= rep.Token {
+		// It was away, or shows no effect of what we say: it must show a token that
+		// only this answer can have brought it.
+		if len(cmds) == 0 {
+			w.counter++
+		}
+		w.asked = w.token()
+	}
+	w.answered = w.token()
 	return Reply{Status: 200, Body: protocol.MustMarshal(&protocol.CheckinReply{Token: w.token(), Commands: cmds})}
 }
 
 // apply takes over a report that is newer than what we know.
 func (c *Core) apply(m *machine, rep *protocol.Report) {
 	w := m.w
+	now := c.now()
+	jumped := w.session != 0 && rep.Session > w.session
 	w.session, w.seq = rep.Session, rep.Seq
 	w.noticed = w.noticed || rep.NoticeS != nil
 	w.repToken = rep.Token
@@ -265,20 +400,32 @@
 	for i := range rep.Tasks {
 		t := &rep.Tasks[i]
 		if ref, ok := parseTask(t.Task); ok {
-			w.rep[attemptKey{ref, uint32(t.Attempt)}] = *t
+			w.rep[attemptKey{ref, t.Attempt}] = *t
 		}
 	}
 	// A report from before the worker saw our claim may be older than the
-	// previous owner's last commands: it proves nothing about tasks.
-	if rep.Token < w.base() || c.view.watched < w.claimVersion {
+	// previous owner's last commands: it proves nothing, not even that the
+	// machine is still there.
+	if rep.Token < w.base() {
 		return
 	}
 	w.acked = true
+	if w.reached() {
+		w.aliveAt = now
+		if w.lost {
+			w.lost = false
+			c.log.Info("machine is back", "machine", m.id)
+		}
+	}
+	// With a new session all that was there before is gone. That it has one though
+	// we answered its last reports in time shows that our answers don't reach it:
+	// then its tasks are better run elsewhere.
+	deaf := jumped && now-w.answeredAt < micros.FromSeconds(c.cfg.Facts.Workers.LeaseS)-workerWaits
 	for ref, attempt := range m.tasks {
 		k := attemptKey{ref, attempt}
 		t, has := w.rep[k]
 		j := c.view.jobs[ref.job]
-		if j == nil || j.version == 0 {
+		if j == nil {
 			continue
 		}
 		switch {
@@ -288,16 +435,20 @@
 				kind = outDone
 			}
 			c.noteExit(m, j, ref, &t)
-			c.settle(j, ref, outcome{attempt, m.id, kind})
+			w.settle(k, kind)
+		case !has && jumped && (deaf || !j.open() || w.stopping[k]):
+			w.settle(k, outRetry)
 		case !has && (!j.open() || w.stopping[k]):
 			// Absent after a kill that outranks every batch with its run: it
 			// isn't there and can't start any more.
 			if s := w.sent[k]; s != nil && s.kill != 0 && rep.Token >= s.kill {
-				c.settle(j, ref, outcome{attempt, m.id, outRetry})
+				w.settle(k, outRetry)
 			}
 		}
 	}
-	now := c.now()
+	if len(w.outcomes) > 0 {
+		c.dirty = true
+	}
 	for k, t := range w.rep {
 		if _, ok := w.since[k]; !ok && t.State == protocol.StateRunning {
 			w.since[k] = now
@@ -320,51 +471,26 @@
 	}
 }
 
-// settle notes what became of an attempt until the store has it.
-func (c *Core) settle(j *job, ref taskRef, o outcome) {
-	key := bookkeeping.RowKey(ref.job, ref.index/j.rec.Chunk)
-	row := c.outcomes[key]
-	if row == nil {
-		row = map[int]outcome{}
-		c.outcomes[key] = row
-	}
-	if old, ok := row[ref.index%j.rec.Chunk]; !ok || old.attempt != o.attempt {
-		row[ref.index%j.rec.Chunk] = o
-	}
-}
-
-// settled tells whether an attempt has an outcome on its way to the store; it
-// must not be started again.
-func (c *Core) settled(j *job, ref taskRef, attempt uint32) bool {
-	o, ok := c.outcomes[bookkeeping.RowKey(ref.job, ref.index/j.rec.Chunk)][ref.index%j.rec.Chunk]
-	return ok && o.attempt == attempt
-}
-
 // commands works out what a worker must be told, reaps and kills before runs.
 // A batch that isn't empty gets a token of its own, above all earlier ones, so
 // a late copy of an earlier batch can't undo it.
 func (c *Core) commands(m *machine, now micros.T) []protocol.Command {
 	w := m.w
 	cmds := []protocol.Command{}
-	if c.view.watched < w.claimVersion {
-		return cmds // the mirror may lack assignments made before our claim
-	}
 	const again = micros.Second
 	token := w.token() + 1
-	grace := 0.0
-	add := func(op string, k attemptKey) {
-		cmd := protocol.Command{Op: op, Task: k.ref.String(), Attempt: uint64(k.attempt)}
+	add := func(op string, k attemptKey, grace float64) {
+		cmd := protocol.Command{Op: op, Task: k.ref.String(), Attempt: k.attempt}
 		if op == protocol.CmdKill {
-			g := grace
-			cmd.GraceS = &g
+			cmd.GraceS = &grace
 		}
 		cmds = append(cmds, cmd)
 	}
 	due := func(at *micros.T) bool {
-		if *at != 0 && now-*at < again {
+		if len(cmds) >= mostCommands || *at != 0 && now-*at < again {
 			return false
 		}
-		*at = now
+		*at = max(now, 1)
 		return true
 	}
 	for k, t := range w.rep {
@@ -375,21 +501,21 @@
 		if t.State == protocol.StateExited {
 			// Its outcome is in the store, or nobody wants it.
 			if due(&s.reapAt) {
-				add(protocol.CmdReap, k)
+				add(protocol.CmdReap, k, 0)
 			}
 		} else if due(&s.killAt) {
-			add(protocol.CmdKill, k)
+			add(protocol.CmdKill, k, 0)
 		}
 	}
 	var runs []attemptKey
 	for ref, attempt := range m.tasks {
 		k := attemptKey{ref, attempt}
 		j := c.view.jobs[ref.job]
-		if j == nil || j.version == 0 {
+		if j == nil {
 			continue
 		}
 		t, has := w.rep[k]
-		if has && t.State == protocol.StateExited || c.settled(j, ref, attempt) {
+		if has && t.State == protocol.StateExited || w.settled(k) {
 			continue
 		}
 		if !j.open() || w.stopping[k] {
@@ -398,15 +524,15 @@
 				if s.kill == 0 {
 					s.kill = token
 				}
-				grace = 0
+				grace := 0.0
 				if j.open() && j.rec.Spec.CheckpointS > 0 {
 					grace = j.rec.Spec.SaveS // its progress is worth saving
 				}
-				add(protocol.CmdKill, k)
+				add(protocol.CmdKill, k, grace)
 			}
 			continue
 		}
-		if !has && !w.lost && due(&w.told(k).runAt) {
+		if !has && !w.lost {
 			runs = append(runs, k)
 		}
 	}
@@ -417,7 +543,9 @@
 		return runs[a].ref.index < runs[b].ref.index
 	})
 	for _, k := range runs {
-		add(protocol.CmdRun, k)
+		if due(&w.told(k).runAt) {
+			add(protocol.CmdRun, k, 0)
+		}
 	}
 	if len(cmds) > 0 {
 		w.counter++
@@ -428,17 +556,15 @@
 // syncJob tells every worker of ours that has tasks of a job.
 func (c *Core) syncJob(j *job) {
 	seen := map[string]bool{}
-	for _, r := range j.rows {
-		if r.rec == nil {
+	for _, p := range c.view.pages {
+		e := p.rec.Jobs[j.id]
+		if e == nil || !c.owns(p) {
 			continue
 		}
-		for i := range r.rec.Tasks {
-			t := &r.rec.Tasks[i]
-			if t.State == bookkeeping.TaskAssigned && !seen[t.Machine] {
-				seen[t.Machine] = true
-				if m := c.view.machines[t.Machine]; m != nil && m.w != nil {
-					c.sync(m)
-				}
+		for _, h := range e.Held {
+			if m := c.view.machines[h.Machine]; !seen[h.Machine] && m != nil && m.w != nil {
+				seen[h.Machine] = true
+				c.sync(m)
 			}
 		}
 	}
@@ -448,7 +574,7 @@
 // is in flight at a time.
 func (c *Core) sync(m *machine) {
 	w := m.w
-	if w == nil || w.session == 0 || w.lost || m.rec.Endpoint == "" {
+	if w == nil || w.session == 0 || w.lost || m.rec == nil {
 		return
 	}
 	if w.busy {
@@ -470,7 +596,7 @@
 			// Not executed, or not known to be: say it again with a new token.
 			for _, cmd := range cmds {
 				if ref, ok := parseTask(cmd.Task); ok {
-					s := w.told(attemptKey{ref, uint32(cmd.Attempt)})
+					s := w.told(attemptKey{ref, cmd.Attempt})
 					s.runAt, s.killAt, s.reapAt = 0, 0, 0
 				}
 			}
@@ -479,7 +605,6 @@
 		if r.Status != 0 && rep.Machine == m.id && rep.Valid() &&
 			(rep.Session > w.session || rep.Session == w.session && rep.Seq > w.seq) {
 			c.apply(m, rep)
-			c.flushOutcomes(c.now())
 		}
 		if w.again && r.Status == 200 {
 			w.again = false
@@ -488,164 +613,23 @@
 	})
 }
 
-// flushOutcomes writes what became of attempts, many in one commit. It never
-// forgets one before the mirror shows it: a release that may still be applied
-// must keep its attempt from being started again.
-func (c *Core) flushOutcomes(now micros.T) {
-	if len(c.outcomes) == 0 || c.storeDown && now-c.storeBadAt < 300*micros.Millisecond {
-		return
-	}
-	st := c.cfg.Facts.State
-	t := protocol.Txn{}
-	conds := map[string]bool{}
-	var rows []string
-	finished := []string{}
-	cond := func(key string, version uint64) {
-		if !conds[key] {
-			conds[key] = true
-			t.If = append(t.If, protocol.Cond{Key: key, Version: version})
-		}
-	}
-	send := func() {
-		if len(rows) == 0 {
-			return
-		}
-		txn, keys, jobs := t, rows, finished
-		for _, k := range keys {
-			c.row(k).busy = true
-		}
-		t, rows, finished, conds = protocol.Txn{}, nil, []string{}, map[string]bool{}
-		c.commit(bookkeeping.RankOutcome, txn, func(r protocol.StoreResult) {
-			for _, k := range keys {
-				c.row(k).busy = false
-			}
-			if r.Outcome != protocol.OK {
-				for _, k := range keys {
-					c.row(k).pauseUntil = c.now() + 100*micros.Millisecond
-				}
-				return
-			}
-			for _, id := range jobs {
-				c.view.finals.add(id, bookkeeping.Done)
-				c.stats.done++
-				c.log.Debug("job done", "job", id)
-			}
-			c.dirty = true
-		})
-	}
-	for _, key := range sortedKeys(c.outcomes) {
-		_, name, _ := bookkeeping.SplitKey(key)
-		id, chunk, _ := bookkeeping.SplitRow(name)
-		j := c.view.jobs[id]
-		if j == nil || j.version == 0 || j.rows[chunk] == nil || j.rows[chunk].rec == nil {
-			delete(c.outcomes, key)
-			continue
-		}
-		rs := c.row(key)
-		if rs.busy || now < rs.pauseUntil {
-			continue
-		}
-		r := j.rows[chunk]
-		next := r.rec.Clone()
-		var need []protocol.Cond
-		need = append(need, protocol.Cond{Key: key, Version: r.version})
-		doneNow := 0
-		out := c.outcomes[key]
-		for i, o := range out {
-			task := &next.Tasks[i]
-			m := c.view.machines[o.machine]
-			if task.State != bookkeeping.TaskAssigned || task.Attempt != o.attempt || task.Machine != o.machine ||
-				m == nil || m.w == nil {
-				delete(out, i)
-				continue
-			}
-			// Conditional on the claim: under another one the proof isn't ours.
-			need = append(need, protocol.Cond{Key: bookkeeping.Key(bookkeeping.KindMachine, m.id), Version: m.version})
-			if o.kind == outDone {
-				task.State, task.Machine = bookkeeping.TaskDone, ""
-				doneNow++
-			} else {
-				task.State, task.Machine = bookkeeping.TaskPending, ""
-			}
-		}
-		if len(out) == 0 {
-			delete(c.outcomes, key)
-			continue
-		}
-		complete := j.open() && j.done+doneNow == j.rec.Spec.Tasks && !c.otherBusy(j, chunk)
-		ops := []protocol.Op{{Put: key, Value: next.Encode()}}
-		if complete {
-			need = append(need, protocol.Cond{Key: bookkeeping.Key(bookkeeping.KindOpen, id), Version: j.version})
-			ops = finishOps(j, st.TxnOps, ops[0])
-		}
-		if len(t.Then)+len(ops) > st.TxnOps || len(t.If)+len(need) > 4*st.TxnOps {
-			send()
-		}
-		for _, n := range need {
-			cond(n.Key, n.Version)
-		}
-		t.Then = append(t.Then, ops...)
-		rows = append(rows, key)
-		if complete {
-			finished = append(finished, id)
-		}
-	}
-	send()
-}
-
-// otherBusy tells whether another row of the job is being written by us.
-func (c *Core) otherBusy(j *job, chunk int) bool {
-	for k := range j.rows {
-		if k != chunk && c.row(bookkeeping.RowKey(j.id, k)).busy {
-			return true
-		}
-	}
-	return false
-}
-
-// finishOps makes a job done: its answer is kept, and its records go if one
-// commit can drop them all; otherwise the leader's sweep drops them.
-func finishOps(j *job, most int, last protocol.Op) []protocol.Op {
-	jobKey, openKey := bookkeeping.Key(bookkeeping.KindJob, j.id), bookkeeping.Key(bookkeeping.KindOpen, j.id)
-	ops := []protocol.Op{{Put: jobKey, Value: protocol.MustMarshal(&bookkeeping.Answer{Status: bookkeeping.Done})}}
-	if len(j.rows)+2 <= most {
-		for _, chunk := range sortedInts(j.rows) {
-			ops = append(ops, protocol.Op{Delete: bookkeeping.RowKey(j.id, chunk)})
-		}
-		return append(ops, protocol.Op{Delete: openKey})
-	}
-	rec := j.rec
-	rec.Status = bookkeeping.Done
-	ops = append(ops, protocol.Op{Put: openKey, Value: protocol.MustMarshal(&rec)})
-	if last.Put != "" {
-		ops = append(ops, last)
-	}
-	return ops
-}
-
-func sortedInts[V any](m map[int]V) []int {
-	out := make([]int, 0, len(m))
-	for k := range m {
-		out = append(out, k)
-	}
-	sort.Ints(out)
-	return out
-}
-
 // noteExit learns from how an attempt ended.
 func (c *Core) noteExit(m *machine, j *job, ref taskRef, t *protocol.TaskReport) {
-	if c.settled(j, ref, uint32(t.Attempt)) {
+	w := m.w
+	if w.settled(attemptKey{ref, t.Attempt}) {
 		return
 	}
-	w := m.w
 	switch t.Cause {
 	case protocol.CauseDone:
-		if at, ok := w.since[attemptKey{ref, uint32(t.Attempt)}]; ok && !j.rec.Spec.Service {
+		if at, ok := w.since[attemptKey{ref, t.Attempt}]; ok && !j.rec.Spec.Service {
 			w.measure((c.now() - at).Seconds(), c.expected(&j.rec.Spec))
 			c.learn(&j.rec.Spec, (c.now() - at).Seconds())
 		}
 		w.failed, w.failedJobs = 0, map[string]bool{}
-		delete(c.jobState, j.id)
+		if js := c.jobState[j.id]; js != nil {
+			js.fails, js.step, js.until = 0, 0, 0
+			clear(js.failedOn)
+		}
 	case protocol.CauseError:
 		c.stats.failed++
 		w.failed++
@@ -686,6 +670,9 @@
 	failedOn map[string]bool
 	until    micros.T // not to be placed before
 	step     micros.T
+	most     int      // tasks that it had begun when it last got on
+	movedAt  micros.T // when that was
+	handedAt micros.T // when its tasks were last handed to another part
 }
 
 func (c *Core) jobNotes(id string) *jobState {
@@ -710,16 +697,21 @@
 // tendMachines looks after the machines that are ours: leases that have ended,
 // silence, notices, faults.
 func (c *Core) tendMachines(now micros.T) {
+	for id, s := range c.sightings {
+		if now-s.last > micros.Minute {
+			delete(c.sightings, id)
+		}
+	}
+	for _, id := range sortedKeys(c.arrivals) {
+		if now-c.arrivals[id].since > arrivalWait {
+			c.arrived(id, false)
+		}
+	}
 	// Without a fresh mirror a claim may have moved on long ago: after a cut of our
 	// own all machines look silent, and are no longer ours.
 	if _, alone := c.refusedAlone(now); alone || c.storeDown || now-c.watchOKAt > watchBlock+micros.Second {
 		return
 	}
-	for id, at := range c.ghosts {
-		if now-at > ghostsFor {
-			delete(c.ghosts, id)
-		}
-	}
 	lease := micros.FromSeconds(c.cfg.Facts.Workers.LeaseS)
 	report := micros.FromSeconds(c.cfg.Facts.Workers.ReportS)
 	proof := lease + lease/500 + micros.Second
@@ -728,47 +720,37 @@
 	patience := 3*report + micros.Second/2
 	ours, quiet := 0, 0
 	for _, m := range c.view.machines {
-		if m.w != nil && m.version != 0 {
+		if m.w != nil {
 			ours++
-			if now-m.w.heardAt > 2*report {
+			if now-m.w.aliveAt > 2*report {
 				quiet++
 			}
 		}
 	}
 	quiet = max(quiet, 1) - 1 // one alone may always be the one
-	live := c.live()
-	var heirless []*machine
-	for id, at := range c.redirected {
-		if now-at > micros.Minute {
-			delete(c.redirected, id)
-		}
-	}
+	lost, noticed, tasks := 0, 0, 0
 	for _, id := range sortedKeys(c.view.machines) {
 		m := c.view.machines[id]
-		if m.version == 0 || m.rec.State == bookkeeping.MachineGone {
-			continue
-		}
-		if m.w == nil {
-			if c.inherits(m, live, now) {
-				heirless = append(heirless, m)
-			}
+		w := m.w
+		if w == nil || m.rec == nil {
 			continue
 		}
-		w := m.w
-		silent := now - w.heardAt
-		if !w.lost && w.acked && silent > proof {
-			w.lost = true
-			w.acked = false
-			c.log.Info("machine lost: its lease has ended unanswered", "machine", id, "tasks", len(m.tasks))
+		silent := now - w.aliveAt
+		if !w.lost && w.acked && now-w.answeredAt > proof {
+			w.lost, w.acked = true, false
+			lost++
+			tasks += len(m.tasks)
 			for ref, attempt := range m.tasks {
-				if j := c.view.jobs[ref.job]; j != nil && j.version != 0 {
-					c.settle(j, ref, outcome{attempt, id, outRetry})
-				}
+				w.settle(attemptKey{ref, attempt}, outRetry)
 			}
+			c.dirty = true
+		}
+		if q := silent > patience || w.faulty(); q != w.quiet {
+			w.quiet = q
+			c.dirty = true
 		}
-		removing := m.rec.State == bookkeeping.MachineRemoving
 		switch {
-		case removing:
+		case m.rec.State == bookkeeping.MachineRemoving || w.removing != "":
 		case silent > proof+2*report:
 			c.remove(m, "silent")
 		case silent > patience && c.holdsCancelled(m):
@@ -782,19 +764,67 @@
 			c.remove(m, "silent")
 		case w.faulty():
 			c.remove(m, "faulty")
-		case w.noticed && m.rec.State != bookkeeping.MachineDraining:
-			c.log.Info("machine will be taken back", "machine", id, "tasks", len(m.tasks))
-			c.setState(m, bookkeeping.MachineDraining)
+		case w.noticed && m.rec.State != bookkeeping.MachineDraining && len(w.stopping) == 0:
+			noticed++
 			c.leave(m)
 		}
 	}
-	c.claimMany(heirless)
+	// One line however many share a trouble.
+	if lost > 0 {
+		c.log.Info("machines lost: their leases have ended unanswered", "machines", lost, "tasks", tasks)
+	}
+	if noticed > 0 {
+		c.log.Info("machines will be taken back", "machines", noticed)
+	}
+	if many := quiet >= 3; many != (c.quietSaid > 0) {
+		if many {
+			c.log.Info("machines have fallen silent", "machines", quiet+1, "of", ours)
+		} else {
+			c.log.Info("machines are heard again or replaced", "of", ours)
+		}
+		c.quietSaid = 0
+		if many {
+			c.quietSaid = quiet
+		}
+	}
+}
+
+// wanted is the state that a machine of ours should stand in.
+func (c *Core) wanted(m *machine) bookkeeping.MachineState {
+	w := m.w
+	if (w.removing == removeIdle || w.removing == removeDrained) && len(m.tasks) > 0 {
+		w.removing = "" // the recheck: it got tasks meanwhile
+	}
+	switch {
+	case m.rec.State == bookkeeping.MachineRemoving || w.removing != "":
+		return bookkeeping.MachineRemoving
+	case m.rec.State == bookkeeping.MachineDraining || w.noticed:
+		return bookkeeping.MachineDraining
+	case w.quiet:
+		return bookkeeping.MachineQuiet
+	}
+	return bookkeeping.MachineOpen
+}
+
+// Reasons that hold only while the machine is empty.
+const (
+	removeIdle    = "idle"
+	removeDrained = "drained"
+)
+
+// remove has a machine given back: our page says so, and the leader deletes it.
+func (c *Core) remove(m *machine, reason string) {
+	m.w.removing = reason
+	c.dirty = true
+	if reason != removeIdle {
+		c.log.Info("machine to be removed", "machine", m.id, "reason", reason, "type", m.rec.Type, "zone", m.rec.Zone, "tasks", len(m.tasks))
+	}
 }
 
 // holdsCancelled tells whether the store holds tasks of cancelled jobs there.
 func (c *Core) holdsCancelled(m *machine) bool {
 	for ref := range m.tasks {
-		if j := c.view.jobs[ref.job]; j != nil && j.version != 0 && !j.open() {
+		if j := c.view.jobs[ref.job]; j != nil && !j.open() {
 			return true
 		}
 	}
@@ -834,62 +864,12 @@
 	}
 }
 
-// inherits tells whether we are to claim a machine whose owner has gone: an
-// earlier incarnation of ours, or another controller and we are its home.
-func (c *Core) inherits(m *machine, live []string, now micros.T) bool {
-	if c.claiming[m.id] {
-		return false
-	}
-	owner := m.rec.Owner
-	if owner == c.node {
-		return m.rec.Incarnation != c.inc
-	}
-	if c.isLive(owner) {
-		return false
-	}
-	since, ok := c.deadSince[owner]
-	if !ok {
-		c.deadSince[owner] = now
-		return false
-	}
-	return now-since > 2*micros.Second && home(m.id, live) == c.node
-}
-
-// claimMany claims machines without having heard from them, several in a commit,
-// and asks their workers how things stand: a controller that has just started
-// needn't wait for each worker to find it.
-func (c *Core) claimMany(ms []*machine) {
-	most := c.cfg.Facts.State.TxnOps
-	for len(ms) > 0 {
-		n := min(most, len(ms))
-		batch := ms[:n]
-		ms = ms[n:]
-		t := protocol.Txn{}
-		for _, m := range batch {
-			c.claiming[m.id] = true
-			rec := m.rec
-			rec.Owner, rec.Incarnation = c.node, c.inc
-			rec.Claim++
-			key := bookkeeping.Key(bookkeeping.KindMachine, m.id)
-			t.If = append(t.If, protocol.Cond{Key: key, Version: m.version})
-			t.Then = append(t.Then, protocol.Op{Put: key, Value: protocol.MustMarshal(&rec)})
-		}
-		c.commit(bookkeeping.RankClaim, t, func(r protocol.StoreResult) {
-			for _, m := range batch {
-				delete(c.claiming, m.id)
-				if r.Outcome == protocol.OK {
-					c.show(c.view.machines[m.id])
-				}
-			}
-			c.log.Debug("machines claimed", "count", len(batch), "outcome", r.Outcome.String())
-		})
-	}
-}
-
 // show asks a worker for its report. What it says is taken like any report: it
-// proves nothing before the worker has seen our token.
-func (c *Core) show(m *machine) {
-	if m == nil || m.w == nil || m.rec.Endpoint == "" {
+// proves nothing before the worker has seen our token. It isn't told anything yet
+// if its machine was another controller's, who may still be answering it: a
+// higher token would have it drop those answers and its lease would end.
+func (c *Core) show(m *machine, speak bool) {
+	if m == nil || m.w == nil || m.rec == nil {
 		return
 	}
 	w := m.w
@@ -900,52 +880,9 @@
 			return
 		}
 		c.apply(m, rep)
-		c.sync(m)
-		c.dirty = true
-	})
-}
-
-// setState changes a machine's state in the store.
-func (c *Core) setState(m *machine, s bookkeeping.MachineState) {
-	if c.stateBusy[m.id] {
-		return
-	}
-	c.stateBusy[m.id] = true
-	rec := m.rec
-	rec.State = s
-	key := bookkeeping.Key(bookkeeping.KindMachine, m.id)
-	t := protocol.Txn{
-		If:   []protocol.Cond{{Key: key, Version: m.version}},
-		Then: []protocol.Op{{Put: key, Value: protocol.MustMarshal(&rec)}},
-	}
-	c.commit(bookkeeping.RankAssign, t, func(r protocol.StoreResult) {
-		delete(c.stateBusy, m.id)
-		if r.Outcome == protocol.OK {
-			c.log.Debug("machine state", "machine", m.id, "state", string(s))
-		}
-	})
-}
-
-// remove asks for a machine's deletion, in the store, for the leader to do.
-func (c *Core) remove(m *machine, reason string) {
-	if c.stateBusy[m.id] {
-		return
-	}
-	c.stateBusy[m.id] = true
-	rec := m.rec
-	rec.State = bookkeeping.MachineRemoving
-	key, removal := bookkeeping.Key(bookkeeping.KindMachine, m.id), bookkeeping.Key(bookkeeping.KindRemoval, m.id)
-	t := protocol.Txn{
-		If: []protocol.Cond{{Key: key, Version: m.version}, {Key: removal, Version: 0}},
-		Then: []protocol.Op{
-			{Put: key, Value: protocol.MustMarshal(&rec)},
-			{Put: removal, Value: protocol.MustMarshal(&bookkeeping.Removal{Reason: reason})},
-		},
-	}
-	c.commit(bookkeeping.RankOutcome, t, func(r protocol.StoreResult) {
-		delete(c.stateBusy, m.id)
-		if r.Outcome == protocol.OK {
-			c.log.Info("machine to be removed", "machine", m.id, "reason", reason, "type", rec.Type, "zone", rec.Zone, "tasks", len(m.tasks))
+		if speak {
+			c.sync(m)
 		}
+		c.dirty = true
 	})
 }
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -207,6 +207,11 @@
 		r.Zone == "" || len(r.Zone) > 100 || r.Session == 0 {
 		return false
 	}
+	for i := 0; i < len(r.Endpoint); i++ {
+		if c := r.Endpoint[i]; c <= ' ' || c == ';' || c > '~' {
+			return false // it couldn't be kept
+		}
+	}
 	for i := range r.Tasks {
 		if r.Tasks[i].Task == "" || r.Tasks[i].State == "" {
 			return false
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -25,6 +25,7 @@
 	Nodes   []string
 	Jobs    map[string]JobInfo
 	Workers map[string]*Worker
+	At      map[string]*Worker // by endpoint
 	// Send carries a report to a node; back gets status 0 for no response.
 	Send func(w *Worker, node string, body []byte, back func(status int, reply []byte))
 
@@ -67,7 +68,7 @@
 // NewFleet starts without workers.
 func NewFleet(sim *Sim, report, lease micros.T, nodes []string) *Fleet {
 	return &Fleet{Sim: sim, Report: report, Lease: lease, Nodes: nodes, Jobs: map[string]JobInfo{},
-		Workers: map[string]*Worker{}, where: map[string]string{}, Limits: map[string]float64{},
+		Workers: map[string]*Worker{}, At: map[string]*Worker{}, where: map[string]string{}, Limits: map[string]float64{},
 		use: map[string]float64{}, Starts: map[string]int{}, Finished: map[string]bool{}, Gone: map[string]micros.T{}}
 }
 
@@ -75,7 +76,7 @@
 func (f *Fleet) Up(m *Rented, cpus float64) *Worker {
 	w := &Worker{fleet: f, Machine: m, CPUs: cpus, Session: 1, Tasks: map[string]*Held{},
 		renewed: f.Sim.Now(), node: f.Sim.Rand.IntN(len(f.Nodes))}
-	f.Workers[m.ID] = w
+	f.Workers[m.ID], f.At[m.Endpoint] = w, w
 	w.loop()
 	w.watchLease()
 	return w
