--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -759,12 +759,31 @@
 
 // Summary is one line about the node, for the log.
 func (c *Core) Summary() string {
-	pages := 0
+	pages, waiting, running, used, all := 0, 0, 0, 0.0, 0.0
 	for _, p := range c.view.pages {
 		if c.owns(p) {
 			pages++
 		}
 	}
-	return fmt.Sprintf("jobs %d machines %d members %d pages %d accepted %d placed %d done %d conflicts %d throttled %d",
-		len(c.view.jobs), len(c.view.machines), len(c.view.members), pages, c.stats.accepted, c.stats.placed, c.stats.done, c.stats.conflicts, c.stats.throttled)
+	for _, j := range c.view.jobs {
+		if j.open() {
+			waiting += j.waiting()
+			running += j.held
+		}
+	}
+	for _, m := range c.view.machines {
+		if m.rec != nil {
+			used += m.used.cpus
+			all += c.types[m.rec.Type].CPUs
+		}
+	}
+	s := fmt.Sprintf("jobs %d waiting %d running %d machines %d cpus %.0f/%.0f members %d pages %d accepted %d placed %d done %d conflicts %d throttled %d",
+		len(c.view.jobs), waiting, running, len(c.view.machines), used, all, len(c.view.members), pages,
+		c.stats.accepted, c.stats.placed, c.stats.done, c.stats.conflicts, c.stats.throttled)
+	for i := range c.cfg.Facts.Teams {
+		if t := &c.cfg.Facts.Teams[i]; t.CPUsMax > 0 {
+			s += fmt.Sprintf(" %s %.0f/%.0f", t.Name, c.view.teamUse[t.Name].cpus, t.CPUsMax)
+		}
+	}
+	return s
 }
