--- a/internal/bookkeeping/bookkeeping_test.go
+++ b/internal/bookkeeping/bookkeeping_test.go
@@ -83,7 +83,7 @@
 			p = got
 		}
 	}
-	for _, text := range []string{"j-1 d5-2", "j-1 0@1:0", "j-1 d0;j-1 d1", "j-1 d999999999", "j-1 d1,0", " d1"} {
+	for _, text := range []string{"0j-1 d5-2", "0j-1 0@1:0", "0j-1 d0;3 d1", "0j-1 d999999999", "0j-1 d1,0", " d1", "4j-1 d1", "0 d1"} {
 		raw := protocol.MustMarshal(&pageRecord{Jobs: text})
 		if _, err := DecodePage(raw, nil); err == nil {
 			t.Errorf("a page with %q is read", text)
--- a/internal/bookkeeping/page.go
+++ b/internal/bookkeeping/page.go
@@ -47,7 +47,7 @@
 type PageJob struct {
 	Done Tasks
 	Held []Held // ordered by task
-	text string // its stored form, to tell what changed
+	text string // its stored form but for the id, to tell what changed
 }
 
 // Held is an attempt on a machine.
@@ -133,7 +133,10 @@
 // change of a task is a change of a page: so machines and jobs are packed text.
 //
 //	machines: "num id endpoint kind state [claim]" joined by ";"
-//	jobs: "id dDONE num@attempt:TASKS ..." joined by ";"
+//	jobs: "id dDONE num@attempt:TASKS ..." joined by ";", ":0" left out
+//
+// Ids and endpoints are written as how many characters they share with the one
+// before, and the rest: see front.
 type pageRecord struct {
 	Owner       string    `msgpack:"o"`
 	Incarnation uint64    `msgpack:"i"`
@@ -156,6 +159,7 @@
 	rec := pageRecord{Owner: p.Owner, Incarnation: p.Incarnation, Claim: p.Claim}
 	kinds := map[kindRec]int{}
 	var b []byte
+	lastID, lastEnd := "", ""
 	for _, id := range sortedNames(p.Machines) {
 		m := p.Machines[id]
 		k := kindRec{Type: m.Type, Zone: m.Zone, Spot: m.Spot}
@@ -169,8 +173,9 @@
 			b = append(b, ';')
 		}
 		b = strconv.AppendInt(b, int64(m.Num), 36)
-		b = append(append(b, ' '), id...)
-		b = append(append(b, ' '), m.Endpoint...)
+		b = front(append(b, ' '), lastID, id)
+		b = front(append(b, ' '), lastEnd, m.Endpoint)
+		lastID, lastEnd = id, m.Endpoint
 		b = strconv.AppendInt(append(b, ' '), int64(n), 36)
 		b = append(append(b, ' '), m.State...)
 		if m.Claim > p.Claim {
@@ -178,18 +183,19 @@
 		}
 	}
 	rec.Machines = string(b)
-	var j strings.Builder
+	b, lastID = b[:0:0], ""
 	for _, id := range sortedNames(p.Jobs) {
-		if j.Len() > 0 {
-			j.WriteByte(';')
+		if len(b) > 0 {
+			b = append(b, ';')
 		}
 		e := p.Jobs[id]
 		if e.text == "" {
-			e.text = e.encode(id, p.Machines)
+			e.text = e.encode(p.Machines)
 		}
-		j.WriteString(e.text)
+		b = append(front(b, lastID, id), e.text...)
+		lastID = id
 	}
-	rec.Jobs = j.String()
+	rec.Jobs = string(b)
 	size := 120 + len(p.Owner) + len(rec.Machines) + len(rec.Jobs)
 	for _, k := range rec.Kinds {
 		size += len(k.Type) + len(k.Zone) + 14
@@ -197,8 +203,30 @@
 	return protocol.MustMarshal(&rec), size
 }
 
-func (e *PageJob) encode(id string, machines map[string]*PageMachine) string {
-	b := append(make([]byte, 0, 64), id...)
+// front appends s as the number of characters that it shares with last, one digit
+// of base 36, and the rest.
+func front(b []byte, last, s string) []byte {
+	n := 0
+	for n < 35 && n < len(last) && n < len(s) && last[n] == s[n] {
+		n++
+	}
+	return append(strconv.AppendInt(b, int64(n), 36), s[n:]...)
+}
+
+// unfront reads what front has written.
+func unfront(last, s string) (string, bool) {
+	if s == "" {
+		return "", false
+	}
+	n, err := strconv.ParseInt(s[:1], 36, 32)
+	if err != nil || int(n) > len(last) {
+		return "", false
+	}
+	return last[:n] + s[1:], true
+}
+
+func (e *PageJob) encode(machines map[string]*PageMachine) string {
+	b := make([]byte, 0, 64)
 	if len(e.Done) > 0 {
 		b = e.Done.append(append(b, " d"...))
 	}
@@ -220,7 +248,9 @@
 	for _, k := range order {
 		b = strconv.AppendInt(append(b, ' '), int64(k.num), 36)
 		b = strconv.AppendUint(append(b, '@'), k.attempt, 36)
-		b = groups[k].append(append(b, ':'))
+		if g := groups[k]; len(g) != 1 || g[0] != (Span{0, 1}) {
+			b = g.append(append(b, ':'))
+		}
 	}
 	return string(b)
 }
@@ -232,7 +262,7 @@
 	_, size := p.Encode()
 	for _, e := range p.Jobs {
 		for _, h := range e.Held {
-			size += TaskBound(h.Task) + 1
+			size += TaskBound(h.Task) + 2
 		}
 	}
 	return size
@@ -258,6 +288,7 @@
 		Machines: map[string]*PageMachine{}, Jobs: map[string]*PageJob{}}
 	bad := func(what string) error { return fmt.Errorf("page with a bad entry %q", what) }
 	byNum := map[int]string{}
+	lastID, lastEnd := "", ""
 	for _, entry := range split(rec.Machines) {
 		f := strings.Split(entry, " ")
 		if len(f) < 5 {
@@ -265,11 +296,14 @@
 		}
 		num, err1 := strconv.ParseInt(f[0], 36, 32)
 		kind, err2 := strconv.ParseInt(f[3], 36, 32)
-		if err1 != nil || err2 != nil || kind < 0 || int(kind) >= len(rec.Kinds) || f[1] == "" {
+		id, ok1 := unfront(lastID, f[1])
+		end, ok2 := unfront(lastEnd, f[2])
+		if err1 != nil || err2 != nil || kind < 0 || int(kind) >= len(rec.Kinds) || !ok1 || !ok2 || id == "" {
 			return nil, bad(entry)
 		}
+		lastID, lastEnd = id, end
 		k := rec.Kinds[kind]
-		m := &PageMachine{Num: int(num), Type: k.Type, Zone: k.Zone, Spot: k.Spot, Endpoint: f[2], State: MachineState(f[4])}
+		m := &PageMachine{Num: int(num), Type: k.Type, Zone: k.Zone, Spot: k.Spot, Endpoint: end, State: MachineState(f[4])}
 		if len(f) > 5 {
 			c, err := strconv.ParseUint(f[5], 36, 64)
 			if err != nil {
@@ -277,14 +311,14 @@
 			}
 			m.Claim = c
 		}
-		if byNum[m.Num] != "" || p.Machines[f[1]] != nil {
+		if byNum[m.Num] != "" || p.Machines[id] != nil {
 			return nil, bad(entry)
 		}
-		byNum[m.Num] = f[1]
-		p.Machines[f[1]] = m
-		if old != nil && old.Machines[f[1]] != nil {
-			if o := old.Machines[f[1]]; *o == *m {
-				p.Machines[f[1]] = o
+		byNum[m.Num] = id
+		p.Machines[id] = m
+		if old != nil && old.Machines[id] != nil {
+			if o := old.Machines[id]; *o == *m {
+				p.Machines[id] = o
 			}
 		}
 	}
@@ -299,18 +333,22 @@
 			}
 		}
 	}
+	lastID = ""
 	for _, entry := range split(rec.Jobs) {
-		id, rest, _ := strings.Cut(entry, " ")
-		if id == "" || p.Jobs[id] != nil {
+		head, rest, _ := strings.Cut(entry, " ")
+		id, ok := unfront(lastID, head)
+		if !ok || id == "" || p.Jobs[id] != nil {
 			return nil, bad(entry)
 		}
+		lastID = id
+		text := entry[len(head):]
 		if same {
-			if o := old.Jobs[id]; o != nil && o.text == entry {
+			if o := old.Jobs[id]; o != nil && o.text == text {
 				p.Jobs[id] = o
 				continue
 			}
 		}
-		e := &PageJob{text: entry}
+		e := &PageJob{text: text}
 		for _, f := range strings.Fields(rest) {
 			if done, ok := strings.CutPrefix(f, "d"); ok && !strings.Contains(f, "@") {
 				t, err := parseTasks(done, protocol.MaxTasks)
@@ -320,12 +358,15 @@
 				e.Done = t
 				continue
 			}
-			head, tasks, ok1 := strings.Cut(f, ":")
+			head, tasks, listed := strings.Cut(f, ":")
+			if !listed {
+				tasks = "0"
+			}
 			num, attempt, ok2 := strings.Cut(head, "@")
 			n, err1 := strconv.ParseInt(num, 36, 32)
 			a, err2 := strconv.ParseUint(attempt, 36, 64)
 			t, err3 := parseTasks(tasks, protocol.MaxTasks)
-			if !ok1 || !ok2 || err1 != nil || err2 != nil || err3 != nil || byNum[int(n)] == "" {
+			if !ok2 || err1 != nil || err2 != nil || err3 != nil || byNum[int(n)] == "" {
 				return nil, bad(entry)
 			}
 			t.Each(func(i int) { e.Held = append(e.Held, Held{i, byNum[int(n)], a}) })
--- a/internal/bookkeeping/records.go
+++ b/internal/bookkeeping/records.go
@@ -16,7 +16,7 @@
 // Kinds of records, as they stand in the keys.
 const (
 	KindJob     = "job"     // the final answer for a job, kept for ever
-	KindOpen    = "open"    // an unfinished job: its description, status and shares
+	KindOpen    = "open"    // an unfinished job: its description and shares
 	KindPage    = "page"    // some machines of a part with all that is on them
 	KindPart    = "part"    // what a part may use of the teams' limits
 	KindType    = "type"    // a machine type, for starts during the cloud's outages
@@ -51,19 +51,18 @@
 	Cancelled JobStatus = "cancelled"
 )
 
-// Answer is the record of KindJob. It is written when the job is over, and a
-// job that has one is never open again.
+// Answer is the record of KindJob. It is written, once, when the job is over.
 type Answer struct {
 	Status JobStatus `msgpack:"s"`
 }
 
 // OpenJob is the record of KindOpen. Which of the job's tasks run or are
-// completed stands in the pages; a task that no page names is pending.
+// completed stands in the pages; a task that no page names is pending. A cancelled
+// job has an Answer and keeps this record until all of its attempts are gone.
 type OpenJob struct {
-	Spec   Spec      `msgpack:"j"`
-	Status JobStatus `msgpack:"s"`
-	At     int64     `msgpack:"t"` // time of day of the acceptance, microseconds
-	Shares []Share   `msgpack:"p"`
+	Spec   Spec    `msgpack:"j"`
+	At     int64   `msgpack:"t"` // time of day of the acceptance, microseconds
+	Shares []Share `msgpack:"p"`
 }
 
 // Share says which part gives the pending tasks of a range to its machines.
--- a/internal/coordination/autoscaler.go
+++ b/internal/coordination/autoscaler.go
@@ -43,7 +43,8 @@
 		n := min(j.waiting(), j.need.count(left))
 		teamLeft[spec.Team] = left.plus(j.need, -float64(n))
 		if n > 0 {
-			ds = append(ds, &demand{spec: spec, need: j.need, count: n, job: j.id, index: i, zones: newZoneRule(c.view, j), slack: c.slack(j, c.env.Wall()), lasts: c.expected(spec)})
+			left, _ := c.slack(j, c.env.Wall())
+			ds = append(ds, &demand{spec: spec, need: j.need, count: n, job: j.id, index: i, zones: newZoneRule(c.view, j), slack: left, lasts: c.expected(spec)})
 		}
 	}
 	for _, id := range sortedKeys(c.view.machines) {
@@ -109,29 +110,40 @@
 // doubt stretches estimates: they are wrong, and images must be fetched.
 const doubt = 1.2
 
-// within is the time that the users' aim gives a job: its deadline, else the
-// longest time of an objective for its class; without either, any.
-func (c *Core) within(s *bookkeeping.Spec) float64 {
-	if s.DeadlineS > 0 {
-		return s.DeadlineS
-	}
-	most := 0.0
+// aims are the times that the users' aims give a job, the shortest first: multiples
+// of its deadline, or the times within which its class is to be finished; without
+// either, any.
+func (c *Core) aims(s *bookkeeping.Spec) []float64 {
+	var out []float64
 	for _, o := range c.cfg.Facts.Objectives {
-		if o.Kind == "finished" && o.Class == s.Class {
-			most = max(most, o.WithinS)
+		switch {
+		case o.Class != s.Class:
+		case o.Kind == "finished" && s.DeadlineS == 0:
+			out = append(out, o.WithinS)
+		case o.Kind == "deadline" && s.DeadlineS > 0 && o.Times > 0:
+			out = append(out, o.Times*s.DeadlineS)
 		}
 	}
-	if most == 0 {
-		return math.Inf(1)
+	if len(out) == 0 && s.DeadlineS > 0 {
+		out = append(out, s.DeadlineS)
+	}
+	if len(out) == 0 {
+		return []float64{math.Inf(1)}
 	}
-	return most
+	sort.Float64s(out)
+	return out
 }
 
 // slack tells how many seconds a job's waiting tasks may still wait and meet the
-// users' aim.
-func (c *Core) slack(j *job, wall int64) float64 {
+// first of its aims that can still be met, and how many can't.
+func (c *Core) slack(j *job, wall int64) (seconds float64, missed int) {
 	s := &j.rec.Spec
-	return c.within(s) - micros.T(wall-j.rec.At).Seconds() - doubt*c.expected(s)
+	spent := micros.T(wall-j.rec.At).Seconds() + doubt*c.expected(s)
+	aims := c.aims(s)
+	for missed < len(aims) && aims[missed] < spent {
+		missed++
+	}
+	return aims[min(missed, len(aims)-1)] - spent, missed
 }
 
 // offers lists what may be rented now.
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -252,7 +252,8 @@
 			delete(c.accepted, name)
 			return
 		}
-		if !j.open() && j.held > 0 {
+	case bookkeeping.KindJob:
+		if j := c.view.jobs[name]; j != nil && j.held > 0 {
 			c.syncJob(j) // a cancellation reaches the workers at once
 		}
 	case bookkeeping.KindPage:
@@ -424,7 +425,7 @@
 	var page func(k int, after string)
 	page = func(k int, after string) {
 		if k == len(kinds) {
-			c.adopt(view, first, last)
+			c.loadAnswers(view, sortedKeys(view.jobs), func() { c.adopt(view, first, last) })
 			return
 		}
 		sc := &protocol.StoreCall{Op: protocol.StoreList, Key: bookkeeping.Key(kinds[k], ""), After: after, Limit: 500}
@@ -451,6 +452,53 @@
 	page(0, "")
 }
 
+// loadAnswers finds which of the listed jobs have an answer already: cancelled
+// ones whose attempts aren't all gone. The answers themselves can't be listed, they
+// are kept for ever; comparing tells which of the few dozen named exist.
+func (c *Core) loadAnswers(view *View, ids []string, done func()) {
+	if len(ids) == 0 {
+		done()
+		return
+	}
+	again := func() {
+		wait := 200*micros.Millisecond + micros.T(c.env.Rand().Int64N(int64(400*micros.Millisecond)))
+		c.env.After(wait, func() { c.loadAnswers(view, ids, done) })
+	}
+	n := min(len(ids), 4*c.cfg.Facts.State.TxnOps)
+	t := protocol.Txn{}
+	for _, id := range ids[:n] {
+		t.If = append(t.If, protocol.Cond{Key: bookkeeping.Key(bookkeeping.KindJob, id)})
+	}
+	c.call(bookkeeping.RankClaim, &protocol.StoreCall{Op: protocol.StoreCommit, Txn: t}, func(r protocol.StoreResult) {
+		switch {
+		case r.Outcome == protocol.OK:
+			c.loadAnswers(view, ids[n:], done)
+		case r.Outcome == protocol.Conflict && len(r.Failed) > 0:
+			left := len(r.Failed)
+			bad := false
+			for _, key := range r.Failed {
+				c.call(bookkeeping.RankClaim, &protocol.StoreCall{Op: protocol.StoreGet, Key: key}, func(r protocol.StoreResult) {
+					if r.Outcome == protocol.OK {
+						view.put(key, r.Item.Value, r.Item.Version)
+					} else {
+						bad = true
+					}
+					if left--; left > 0 {
+						return
+					}
+					if bad {
+						again()
+						return
+					}
+					c.loadAnswers(view, ids[n:], done)
+				})
+			}
+		default:
+			again()
+		}
+	})
+}
+
 // adopt makes a loaded mirror the core's own.
 func (c *Core) adopt(view *View, first, last uint64) {
 	for id, m := range c.view.machines {
--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -11,34 +11,42 @@
 	if j == nil || !j.open() || !j.complete() || c.jobBusy[id] {
 		return
 	}
-	c.end(j, bookkeeping.Done)
+	c.end(j)
 }
 
-// end closes a job: its answer is kept for ever, its description goes. The pages
-// drop what they hold of it with their next changes.
-func (c *Core) end(j *job, s bookkeeping.JobStatus) {
+// end closes a job whose tasks are all done, unless it has an answer already: the
+// answer is kept for ever, the description goes. The pages drop what they hold of
+// it with their next changes.
+func (c *Core) end(j *job) {
 	id := j.id
 	c.jobBusy[id] = true
-	openKey := bookkeeping.Key(bookkeeping.KindOpen, id)
-	rank := bookkeeping.RankPage
-	if s == bookkeeping.Cancelled {
-		rank = bookkeeping.RankRest // its user has been told long ago
-	}
-	c.commit(rank, protocol.Txn{
-		If: []protocol.Cond{{Key: openKey, Version: j.version}},
+	openKey, jobKey := bookkeeping.Key(bookkeeping.KindOpen, id), bookkeeping.Key(bookkeeping.KindJob, id)
+	c.commit(bookkeeping.RankPage, protocol.Txn{
+		If: []protocol.Cond{{Key: jobKey}},
 		Then: []protocol.Op{
-			{Put: bookkeeping.Key(bookkeeping.KindJob, id), Value: protocol.MustMarshal(&bookkeeping.Answer{Status: s})},
+			{Put: jobKey, Value: protocol.MustMarshal(&bookkeeping.Answer{Status: bookkeeping.Done})},
 			{Delete: openKey},
 		},
 	}, func(r protocol.StoreResult) {
 		delete(c.jobBusy, id)
-		if r.Outcome == protocol.OK && s == bookkeeping.Done {
+		if r.Outcome == protocol.OK {
 			c.stats.done++
 			c.log.Debug("job done", "job", id)
 		}
 	})
 }
 
+// sweep drops the description of a cancelled job that has nothing left anywhere.
+// No attempt can follow: each depends on the job having no answer.
+func (c *Core) sweep(j *job) {
+	c.jobBusy[j.id] = true
+	key := bookkeeping.Key(bookkeeping.KindOpen, j.id)
+	c.commit(bookkeeping.RankRest, protocol.Txn{
+		If:   []protocol.Cond{{Key: key, Version: j.version}},
+		Then: []protocol.Op{{Delete: key}},
+	}, func(protocol.StoreResult) { delete(c.jobBusy, j.id) })
+}
+
 // tendJobs closes jobs that are over: such whose last tasks ended on several parts
 // at once, each of which saw another's unfinished, and cancelled ones whose every
 // attempt is proven gone. Each job has one controller that does so.
@@ -53,9 +61,10 @@
 		}
 		switch {
 		case j.open() && j.complete() && home(j.id, live) == c.node:
-			c.end(j, bookkeeping.Done)
-		case !j.open() && j.held == 0 && home(j.id, live) == c.node:
-			c.end(j, j.rec.Status)
+			c.end(j)
+		case !j.open() && j.held == 0 && home(j.id, live) == c.node && c.view.watched >= j.overAt:
+			// With a mirror that has all that came before the answer.
+			c.sweep(j)
 		}
 	}
 }
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -73,14 +73,17 @@
 type standing struct {
 	job    *job
 	slack  float64 // seconds that it may still wait
-	late   bool    // long past its aim
+	missed int     // aims that it can't meet any more
 	owed   bool    // its team is within its guarantee
 	hungry bool    // got nothing for long, see starved
 }
 
 // before orders jobs: higher priority first; of the same priority those first
-// whose team doesn't yet use its guarantee, then the least slack; last those that are long past their aim, the oldest of them first. Past what can be done, going by the deadline alone would
-// spend all machines on jobs that are late already and make every other late.
+// whose team doesn't yet use its guarantee, then those that can still meet the
+// first of their aims, the least slack first, then those that can meet the next;
+// last, the oldest first, what can meet none. Past what can be done, going by the
+// deadline alone would spend all machines on jobs that are late already and make
+// every other late.
 // Before all other arrays, whatever their priority, comes one that has been
 // waiting in vain for long, with a part of its tasks.
 func (a standing) before(b standing) bool {
@@ -97,10 +100,10 @@
 	if a.owed != b.owed {
 		return a.owed
 	}
-	if a.late != b.late {
-		return b.late
+	if a.missed != b.missed {
+		return a.missed < b.missed
 	}
-	if !a.late && a.slack != b.slack {
+	if a.slack >= 0 && b.slack >= 0 && a.slack != b.slack {
 		return a.slack < b.slack
 	}
 	if x.rec.At != y.rec.At {
@@ -115,9 +118,8 @@
 	wall, now := c.env.Wall(), c.now()
 	for _, j := range c.view.jobs {
 		if j.open() && j.waiting() > 0 {
-			slack := c.slack(j, wall)
-			late := slack+doubt*c.expected(&j.rec.Spec) < -0.5*c.within(&j.rec.Spec)
-			all = append(all, standing{j, slack, late, c.owed(j), c.starved(j, now)})
+			slack, missed := c.slack(j, wall)
+			all = append(all, standing{j, slack, missed, c.owed(j), c.starved(j, now)})
 		}
 	}
 	sort.Slice(all, func(a, b int) bool { return all[a].before(all[b]) })
@@ -236,6 +238,7 @@
 					d.jobs[j.id] = true
 					d.bound += len(j.id) + 4
 					d.cond(bookkeeping.Key(bookkeeping.KindOpen, j.id), j.version)
+					d.cond(bookkeeping.Key(bookkeeping.KindJob, j.id), 0)
 				}
 				if limit.limited() {
 					d.cond(partKey, c.view.versionOf(partKey))
@@ -358,7 +361,7 @@
 	bestScore := math.Inf(1)
 	spec := &j.rec.Spec
 	notes := c.jobState[j.id]
-	limit, conds := c.pageLimit()-len(j.id)-32, 4*c.cfg.Facts.State.TxnOps-3
+	limit, conds := c.pageLimit()-len(j.id)-32, 4*c.cfg.Facts.State.TxnOps-4
 	look := func(cd *candidate) {
 		if !j.need.fits(cd.free) || !mayRun(spec, cd.rec) || !zones.ok(cd.rec.Zone) || cd.tasks >= mostOnMachine ||
 			only != nil && cd.d != only || cd.d.bound > limit || len(cd.d.txn.If) >= conds && !cd.d.jobs[j.id] {
--- a/internal/coordination/plan_test.go
+++ b/internal/coordination/plan_test.go
@@ -97,10 +97,10 @@
 		a, b standing
 	}{
 		{"priority", standing{job: mk("b", 3, 9), slack: 90}, standing{job: mk("a", 2, 1), slack: 1}},
-		{"priority, though late", standing{job: mk("b", 3, 9), late: true}, standing{job: mk("a", 2, 1)}},
+		{"priority, though late", standing{job: mk("b", 3, 9), missed: 2}, standing{job: mk("a", 2, 1)}},
 		{"least slack", standing{job: mk("b", 1, 9), slack: 1}, standing{job: mk("a", 1, 1), slack: 2}},
-		{"just late before long late", standing{job: mk("b", 1, 9), slack: -5}, standing{job: mk("a", 1, 1), slack: -50, late: true}},
-		{"oldest of the long late", standing{job: mk("b", 1, 1), slack: -5, late: true}, standing{job: mk("a", 1, 2), slack: -50, late: true}},
+		{"just late before long late", standing{job: mk("b", 1, 9), slack: -5}, standing{job: mk("a", 1, 1), slack: -50, missed: 2}},
+		{"oldest of the long late", standing{job: mk("b", 1, 1), slack: -5, missed: 2}, standing{job: mk("a", 1, 2), slack: -50, missed: 2}},
 		{"id at last", standing{job: mk("a", 1, 1)}, standing{job: mk("b", 1, 1)}},
 	}
 	for _, tc := range cases {
--- a/internal/coordination/service_test.go
+++ b/internal/coordination/service_test.go
@@ -509,10 +509,8 @@
 	c := newCluster(t, 18).steady()
 	id := c.submit(sec, jobOf{})
 	core := c.nodes["n-0"].core
-	c.sim.Run(100 * micros.Millisecond)
-	rec, version := core.view.jobs[id].rec, core.view.jobs[id].version
 	c.finished(id, 60*sec)
-	core.cancel(id, rec, version, 4, func(r Reply) {
+	core.cancel(id, func(r Reply) {
 		var a protocol.Accepted
 		_ = protocol.Unmarshal(r.Body, &a)
 		if a.Status != protocol.JobDone {
@@ -554,19 +552,18 @@
 		c := newCluster(t, 17)
 		c.start("n-0")
 		core := c.nodes["n-0"].core
-		status := bookkeeping.Open
-		if tc.cancelled {
-			status = bookkeeping.Cancelled
-		}
 		core.view.put(bookkeeping.Key(bookkeeping.KindOpen, "j-1"), protocol.MustMarshal(&bookkeeping.OpenJob{
-			Spec: bookkeeping.Spec{Tasks: 1, CPUs: 1}, Status: status, Shares: []bookkeeping.Share{{First: 0, End: 1, Part: "n-0"}}}), 5)
+			Spec: bookkeeping.Spec{Tasks: 1, CPUs: 1}, Shares: []bookkeeping.Share{{First: 0, End: 1, Part: "n-0"}}}), 5)
 		page := &bookkeeping.Page{Owner: "n-0", Incarnation: core.inc, Claim: 3,
 			Machines: map[string]*bookkeeping.PageMachine{}, Jobs: map[string]*bookkeeping.PageJob{}}
 		page.Add("i-1", bookkeeping.PageMachine{Type: "m8", Zone: "a", Endpoint: "10.1.0.1:9000", State: bookkeeping.MachineOpen})
 		page.Assign("j-1", bookkeeping.Held{Task: 0, Machine: "i-1", Attempt: 1})
 		raw, _ := page.Encode()
 		core.view.put(bookkeeping.Key(bookkeeping.KindPage, "p"), raw, 7)
-		core.view.watched = 7
+		if tc.cancelled {
+			core.view.put(bookkeeping.Key(bookkeeping.KindJob, "j-1"), protocol.MustMarshal(&bookkeeping.Answer{Status: bookkeeping.Cancelled}), 8)
+		}
+		core.view.watched = 8
 		m := core.view.machines["i-1"]
 		if tc.killed != 0 {
 			m.w.told(attemptKey{ref, 1}).kill = tc.killed
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -106,7 +106,7 @@
 // standingOf is the answer about a job that the mirror holds.
 func (c *Core) standingOf(j *job) Reply {
 	if !j.open() {
-		return c.final(j.id, j.rec.Status)
+		return c.final(j.id, j.over)
 	}
 	st := protocol.JobStatus{ID: j.id, Status: protocol.JobPending, Done: j.done, Running: j.held}
 	if j.held > 0 {
@@ -254,7 +254,7 @@
 }
 
 func (c *Core) accept(id string, spec bookkeeping.Spec, answer func(Reply)) {
-	rec := bookkeeping.OpenJob{Spec: spec, Status: bookkeeping.Open, At: c.env.Wall(), Shares: c.split(&spec)}
+	rec := bookkeeping.OpenJob{Spec: spec, At: c.env.Wall(), Shares: c.split(&spec)}
 	value := protocol.MustMarshal(&rec)
 	// The stored form is counted as JSON: about twice the packed one here.
 	if len(value)*2 > c.valueBytes() {
@@ -350,7 +350,7 @@
 		return
 	}
 	if j := c.view.jobs[id]; j != nil && !j.open() {
-		answer(c.final(id, j.rec.Status))
+		answer(c.final(id, j.over))
 		return
 	}
 	if r, no := c.unready(); no {
@@ -373,23 +373,38 @@
 		answer(r)
 		return
 	}
-	if j := c.view.jobs[id]; j != nil {
-		c.cancel(j.id, j.rec, j.version, 4, answer)
+	if c.view.jobs[id] != nil {
+		c.cancel(id, answer)
 		return
 	}
-	c.cancelRead(id, 4, answer)
+	// The mirror doesn't hold it: it is over, was never accepted, or is new.
+	c.lookUp(id, func(r Reply) {
+		switch s, over := c.view.finals.get(id); {
+		case over:
+			answer(status(id, s))
+		case r.Status == 200 && c.view.jobs[id] != nil:
+			c.cancel(id, answer)
+		case r.Status == 200:
+			answer(c.later(503, "changing just now"))
+		default:
+			answer(r)
+		}
+	})
 }
 
-// cancelRead cancels a job that the mirror doesn't hold, or holds too old.
-func (c *Core) cancelRead(id string, tries int, answer func(Reply)) {
-	sc := &protocol.StoreCall{Op: protocol.StoreGet, Key: bookkeeping.Key(bookkeeping.KindOpen, id)}
-	c.call(bookkeeping.RankCancel, sc, func(r protocol.StoreResult) {
-		var rec bookkeeping.OpenJob
-		switch {
-		case r.Outcome == protocol.OK && protocol.Unmarshal(r.Item.Value, &rec) == nil:
-			c.cancel(id, rec, r.Item.Version, tries, answer)
-		case r.Outcome == protocol.NotFound:
-			// Over, or never accepted: the kept answer tells.
+// cancel writes the answer of a job that has been accepted, unless it has one: done
+// and cancelled exclude each other by that, and every assignment asks for it.
+func (c *Core) cancel(id string, answer func(Reply)) {
+	key := bookkeeping.Key(bookkeeping.KindJob, id)
+	c.commit(bookkeeping.RankCancel, protocol.Txn{
+		If:   []protocol.Cond{{Key: key}},
+		Then: []protocol.Op{{Put: key, Value: protocol.MustMarshal(&bookkeeping.Answer{Status: bookkeeping.Cancelled})}},
+	}, func(r protocol.StoreResult) {
+		switch r.Outcome {
+		case protocol.OK:
+			c.log.Debug("job cancelled", "job", id)
+			answer(status(id, bookkeeping.Cancelled))
+		case protocol.Conflict:
 			c.lookUp(id, func(rep Reply) {
 				if s, ok := c.view.finals.get(id); ok {
 					rep = status(id, s)
@@ -404,32 +419,6 @@
 	})
 }
 
-func (c *Core) cancel(id string, rec bookkeeping.OpenJob, version uint64, tries int, answer func(Reply)) {
-	if rec.Status != bookkeeping.Open {
-		answer(status(id, rec.Status))
-		return
-	}
-	rec.Status = bookkeeping.Cancelled
-	openKey := bookkeeping.Key(bookkeeping.KindOpen, id)
-	// The open record excludes done and cancelled from each other: whichever
-	// commit is first changes its version. So do all assignments ask for it.
-	t := protocol.Txn{
-		If:   []protocol.Cond{{Key: openKey, Version: version}},
-		Then: []protocol.Op{{Put: openKey, Value: protocol.MustMarshal(&rec)}},
-	}
-	c.commit(bookkeeping.RankCancel, t, func(r protocol.StoreResult) {
-		switch {
-		case r.Outcome == protocol.OK:
-			c.log.Debug("job cancelled", "job", id)
-			answer(status(id, bookkeeping.Cancelled))
-		case r.Outcome == protocol.Conflict && tries > 0:
-			c.cancelRead(id, tries-1, answer)
-		default:
-			answer(c.later(503, "state service out of reach"))
-		}
-	})
-}
-
 // allowed tells whether a job's tasks may run on a type in a zone; a zone of ""
 // leaves the zone open.
 func allowed(s *bookkeeping.Spec, typ, zone string) bool {
--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -67,7 +67,9 @@
 	rec     bookkeeping.OpenJob
 	version uint64
 	need    amount
-	state   []uint8 // of each task, 0: pending; see heldUnit
+	over    bookkeeping.JobStatus // the answer, if it has one
+	overAt  uint64                // its version
+	state   []uint8               // of each task, 0: pending; see heldUnit
 	done    int
 	held    int // tasks with an attempt on some machine
 }
@@ -79,7 +81,7 @@
 	doneUnit = 16
 )
 
-func (j *job) open() bool { return j.rec.Status == bookkeeping.Open }
+func (j *job) open() bool { return j.over == "" }
 
 // waiting counts the tasks without an attempt.
 func (j *job) waiting() int { return j.rec.Spec.Tasks - j.done - j.held }
@@ -296,6 +298,9 @@
 		var a bookkeeping.Answer
 		if protocol.Unmarshal(e.Value, &a) == nil {
 			v.finals.add(name, a.Status)
+			if j := v.jobs[name]; j != nil {
+				j.over, j.overAt = a.Status, e.Version
+			}
 		}
 	case bookkeeping.KindOpen:
 		j := v.jobs[name]
@@ -310,6 +315,7 @@
 		}
 		j = &job{id: name, rec: rec, version: e.Version, state: make([]uint8, rec.Spec.Tasks),
 			need: amount{rec.Spec.CPUs, rec.Spec.GPUs, rec.Spec.MemoryGB}}
+		j.over, _ = v.finals.get(name)
 		v.jobs[name] = j
 		for _, p := range v.pages { // it may have been seen before its job
 			v.sum(p, name, 1)
--- a/internal/coordination/view_test.go
+++ b/internal/coordination/view_test.go
@@ -12,7 +12,7 @@
 func (v *View) putJob(id string, tasks int, version uint64) {
 	v.put(bookkeeping.Key(bookkeeping.KindOpen, id), protocol.MustMarshal(&bookkeeping.OpenJob{
 		Spec:   bookkeeping.Spec{Team: "t", Tasks: tasks, CPUs: 2, MemoryGB: 4, Image: "img", Class: "batch"},
-		Status: bookkeeping.Open, Shares: []bookkeeping.Share{{First: 0, End: tasks, Part: "n-0"}}}), version)
+		Shares: []bookkeeping.Share{{First: 0, End: tasks, Part: "n-0"}}}), version)
 }
 
 // pageOf holds tasks of a job on one machine, some of them done.
