A commit in doubt is settled only by the page's next version

A page's second commit that failed because the first had been applied cleared the note of what the first gave out, and a task could be given to a machine of another page. Also: the lease proof counts from when a worker took up our token, and machines are admitted only under our present membership.

--- a/internal/coordination/pages.go
+++ b/internal/coordination/pages.go
@@ -22,10 +22,11 @@
 // pageState is what we note about one of our pages beside the mirror.
 type pageState struct {
 	busyAt micros.T // a commit of ours is in flight since then; 0: none
-	// What a commit without an answer may yet bring about: it was conditional on
-	// the version at, so once that is history nothing of it can follow.
-	floating *draft
-	at       uint64
+	// What commits in flight or without an answer may yet bring about. Each was
+	// conditional on a version of the page, and only once the mirror shows another
+	// is it settled whether it came about. Until then nothing later that is said of
+	// the page clears it: a second commit that fails may fail because of the first.
+	floating []*draft
 	staleAt  micros.T // since when it holds entries of jobs that are over
 }
 
@@ -88,12 +89,33 @@
 	return s
 }
 
+// settle forgets drafts that were conditional on another version than the page's.
+func (s *pageState) settle(version uint64) {
+	var left []*draft
+	for _, d := range s.floating {
+		if d.version() == version {
+			left = append(left, d)
+		}
+	}
+	s.floating = left
+}
+
+// drop forgets a draft whose commit is known not to have been made.
+func (s *pageState) drop(d *draft) {
+	for i, o := range s.floating {
+		if o == d {
+			s.floating = append(s.floating[:i:i], s.floating[i+1:]...)
+			return
+		}
+	}
+}
+
 // pageTouched follows a change of a page: whose machines they are now, and that
 // what was in doubt about the version before is settled.
 func (c *Core) pageTouched(name string) {
 	p := c.view.pages[name]
-	if s := c.pages[name]; s != nil && s.floating != nil && (p == nil && s.at != 0 || p != nil && p.version != s.at) {
-		s.floating = nil
+	if s := c.pages[name]; s != nil {
+		s.settle(c.view.versionOf(bookkeeping.Key(bookkeeping.KindPage, name)))
 	}
 	if p == nil {
 		delete(c.pages, name)
@@ -121,7 +143,7 @@
 		if s.busyAt != 0 && now-s.busyAt < turnWait {
 			return // placing on some pages only would miss what the others have
 		}
-		if s.busyAt == 0 && s.floating == nil && c.view.pages[name] == nil && c.fresh[name] == nil {
+		if s.busyAt == 0 && len(s.floating) == 0 && c.view.pages[name] == nil && c.fresh[name] == nil {
 			delete(c.pages, name)
 		}
 	}
@@ -157,7 +179,7 @@
 func (c *Core) draft(p *page, now micros.T) *draft {
 	d := newDraft(p.name, p, p.rec.Clone())
 	s := c.pageNotes(p.name)
-	d.changed = s.floating != nil // writing it anew settles what became of that
+	d.changed = len(s.floating) > 0 // writing it anew settles what became of that
 	release := func(m *machine, ref taskRef, done bool) {
 		d.changed = true
 		d.next.Release(ref.job, ref.index, done)
@@ -227,12 +249,18 @@
 func (c *Core) admit(ds []*draft, now micros.T) []*draft {
 	floating := map[string]bool{}
 	for _, s := range c.pages {
-		if s.floating != nil {
-			for id := range s.floating.arrived {
+		for _, d := range s.floating {
+			for id := range d.arrived {
 				floating[id] = true
 			}
 		}
 	}
+	// Only as the member that we are now: what an earlier life of ours or a lapsed
+	// membership sent off must not put a machine into a second page.
+	member := c.view.members[c.node]
+	if member.version == 0 || member.rec.Incarnation != c.inc || c.view.watched < member.version {
+		return ds
+	}
 	moved := map[string]*draft{} // page of another part: our page that takes from it
 	for _, id := range sortedKeys(c.arrivals) {
 		a := c.arrivals[id]
@@ -289,6 +317,7 @@
 		d.changed = true
 		d.bound += need
 		d.arrived[id] = a
+		d.cond(bookkeeping.Key(bookkeeping.KindMember, c.node), member.version)
 		if known {
 			moved[m.page.name] = d
 			c.moveOver(d, m, &a.rep)
@@ -362,7 +391,7 @@
 func (c *Core) write(d *draft, now micros.T) {
 	s := c.pageNotes(d.name)
 	key := bookkeeping.Key(bookkeeping.KindPage, d.name)
-	if d.old == nil && len(d.next.Machines) == 0 && s.floating == nil {
+	if d.old == nil && len(d.next.Machines) == 0 && len(s.floating) == 0 {
 		delete(c.fresh, d.name)
 		return
 	}
@@ -378,13 +407,12 @@
 		}
 		t.Then = append(t.Then, protocol.Op{Put: key, Value: raw})
 	}
-	at := d.version()
-	s.busyAt, s.floating, s.at = max(now, 1), d, at
+	s.busyAt, s.floating = max(now, 1), append(s.floating, d)
 	c.commit(bookkeeping.RankPage, t, func(r protocol.StoreResult) {
 		s.busyAt = 0
 		c.dirty = true
-		if r.Outcome != protocol.Unknown {
-			s.floating = nil
+		if r.Outcome != protocol.Unknown && r.Outcome != protocol.OK {
+			s.drop(d)
 		}
 		switch r.Outcome {
 		case protocol.OK:
@@ -404,9 +432,7 @@
 				c.log.Debug("page written", "page", d.name, "assigned", len(d.tasks), "arrived", len(d.arrived), "bound", d.bound)
 			}
 		case protocol.Unknown:
-			if p := c.view.pages[d.name]; p == nil && at != 0 || p != nil && p.version != at {
-				s.floating = nil
-			}
+			s.settle(c.view.versionOf(key))
 		case protocol.Conflict:
 			c.log.Debug("page not written", "page", d.name, "failed", r.Failed)
 			for _, k := range r.Failed {
@@ -430,8 +456,8 @@
 func (c *Core) floatingTasks() map[taskRef]bool {
 	out := map[taskRef]bool{}
 	for _, s := range c.pages {
-		if s.floating != nil {
-			for ref := range s.floating.tasks {
+		for _, d := range s.floating {
+			for ref := range d.tasks {
 				out[ref] = true
 			}
 		}
--- a/internal/coordination/shares.go
+++ b/internal/coordination/shares.go
@@ -214,8 +214,8 @@
 		}
 	}
 	for _, s := range c.pages {
-		if s.floating != nil {
-			use = use.plus(s.floating.use[team], 1)
+		for _, d := range s.floating {
+			use = use.plus(d.use[team], 1)
 		}
 	}
 	return use
--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -460,7 +460,9 @@
 			if j.state[h.Task]%doneUnit == 0 {
 				j.held--
 			}
-			delete(m.tasks, ref)
+			if j.state[h.Task]%doneUnit == 0 || !v.elsewhere(p, id, h) {
+				delete(m.tasks, ref)
+			}
 		}
 		m.used = m.used.plus(j.need, float64(sign))
 		if len(m.tasks) == 0 {
@@ -488,6 +490,21 @@
 	})
 }
 
+// elsewhere tells whether another page too holds an attempt on the same machine: a
+// list that is read while the machine moves shows it in both.
+func (v *View) elsewhere(not *page, job string, h bookkeeping.Held) bool {
+	for _, p := range v.pages {
+		if e := p.rec.Jobs[job]; e != nil && p.name != not.name {
+			for _, o := range e.Held {
+				if o == h {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
 func addUse(use map[string]amount, team string, need amount, sign int) {
 	u := use[team].plus(need, float64(sign))
 	if u.cpus < slack && u.gpus < slack && u.mem < slack {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -409,7 +409,10 @@
 	if rep.Token < w.base() {
 		return
 	}
-	w.acked = true
+	if !w.acked {
+		// An earlier owner's answers were good until now.
+		w.acked, w.answeredAt = true, now
+	}
 	if w.reached() {
 		w.aliveAt = now
 		if w.lost {
