--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -16,7 +16,7 @@
 	sampleSize    = 24
 	handPause     = 1 * micros.Second
 	mostOnMachine = 300 // tasks on a machine: what a report of 64 KiB can name
-	fairAfter     = micros.Minute
+	fairAfter     = 100 * micros.Second
 	fairPart      = 8 // a job that got nothing for so long gets one of so many parts of it
 )
 
@@ -189,7 +189,7 @@
 		}
 		most := spec.Tasks
 		if c.starved(j, now) {
-			most = max(1, spec.Tasks/fairPart)
+			most = max(1, j.pendingOf(c.node)/fairPart)
 		}
 		fenced := spec.OneZone || spec.Spread
 		zones := newZoneRule(c.view, j)
--- a/internal/coordination/shares.go
+++ b/internal/coordination/shares.go
@@ -11,6 +11,7 @@
 
 // Bounds of how tasks move between parts.
 const (
+	leastShare = 24                // tasks
 	mostShares = 40                // of one job; what a value holds
 	ownerGrace = 3 * micros.Second // an owner that seems to have room gets so long to use it
 )
@@ -35,9 +36,13 @@
 	var parts []part
 	for _, p := range live {
 		r := rooms.room(spec, p) - int(math.Ceil(backlog[p]/max(spec.CPUs, 0.01)))
-		parts = append(parts, part{name: p, room: max(0, r)})
+		parts = append(parts, part{name: p, room: r})
 	}
+	// The least burdened first where none has room.
 	sort.SliceStable(parts, func(a, b int) bool { return parts[a].room > parts[b].room })
+	for i := range parts {
+		parts[i].room = max(0, parts[i].room)
+	}
 	if n <= parts[0].room || spec.Service {
 		return []bookkeeping.Share{{First: 0, End: n, Part: c.roomiest(spec)}}
 	}
@@ -46,8 +51,11 @@
 		parts[i].size = min(left, parts[i].room)
 		left -= parts[i].size
 	}
-	for i := range parts {
-		k := (left + len(parts) - i - 1) / (len(parts) - i)
+	// What has no room anywhere yet goes to no more parts than is worth it: each
+	// part that has some of a job holds a record of it.
+	among := min(len(parts), max(1, left/leastShare))
+	for i := range parts[:among] {
+		k := (left + among - i - 1) / (among - i)
 		parts[i].size += k
 		left -= k
 	}
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -1,7 +1,9 @@
 package coordination
 
 import (
+	"context"
 	"hash/fnv"
+	"log/slog"
 	"math"
 	"sort"
 
@@ -105,7 +107,10 @@
 }
 
 // sighting is a worker of another part that came to us.
-type sighting struct{ first, last micros.T }
+type sighting struct {
+	first, last micros.T
+	claim       uint64 // under which its owner held it
+}
 
 // home is the live controller that a machine belongs to by rendezvous hashing.
 func home(machine string, live []string) string {
@@ -170,6 +175,13 @@
 		return
 	}
 	m := c.view.machines[rep.Machine]
+	if c.log.Enabled(context.Background(), slog.LevelDebug) {
+		reply := answer
+		answer = func(r Reply) {
+			c.log.Debug("check-in", "machine", rep.Machine, "session", rep.Session, "seq", rep.Seq, "token", rep.Token, "tasks", len(rep.Tasks), "answer", r.Status, "waited_ms", (c.now() - now).Millis())
+			reply(r)
+		}
+	}
 	switch {
 	case m != nil && m.w != nil:
 		answer(c.report(m, &rep))
@@ -184,11 +196,13 @@
 	}
 }
 
-// seen notes a worker of another part, and tells when this run of visits began.
-func (c *Core) seen(id string, now micros.T) micros.T {
+// seen notes a worker of another part, and tells when this run of visits began. A
+// new claim begins it anew: an owner that was gone for a moment and has claimed its
+// machines again must have the time to be found by them.
+func (c *Core) seen(id string, claim uint64, now micros.T) micros.T {
 	s := c.sightings[id]
-	if s == nil || now-s.last > 20*micros.Second {
-		s = &sighting{first: now}
+	if s == nil || now-s.last > 20*micros.Second || s.claim != claim {
+		s = &sighting{first: now, claim: claim}
 		c.sightings[id] = s
 	}
 	s.last = now
@@ -202,7 +216,7 @@
 func (c *Core) stray(m *machine, rep *protocol.Report, answer func(Reply), now micros.T) {
 	owner := m.owner()
 	member, live := c.view.members[owner]
-	first := c.seen(m.id, now)
+	first := c.seen(m.id, m.claim(), now)
 	lease := micros.FromSeconds(c.cfg.Facts.Workers.LeaseS)
 	adopt := false
 	switch {
@@ -224,7 +238,7 @@
 	case c.heard(owner, now):
 		// It lives, and the worker had it and lost it: no use in waiting, its lease
 		// may not last for another round.
-		adopt = rep.Token >= m.claim()<<32 || now-first > 500*micros.Millisecond
+		adopt = rep.Token >= m.claim()<<32 || now-first > lease/3
 	default:
 		// Crashed, perhaps back in a moment; or cut off, then its membership ends.
 		adopt = now-first > lease/3
@@ -317,7 +331,7 @@
 	}
 	// It has nothing on it yet, so there is no hurry; a request that is rewritten
 	// makes the claims of all its other machines fail.
-	if first := c.seen(rep.Machine, now); now-first < micros.FromSeconds(c.cfg.Facts.Workers.LeaseS)/2 {
+	if first := c.seen(rep.Machine, 0, now); now-first < micros.FromSeconds(c.cfg.Facts.Workers.LeaseS)/2 {
 		if c.isLive(to) {
 			answer(c.redirect(to))
 		} else {
@@ -721,6 +735,8 @@
 	// Three reports in a row have not come. One machine alone that falls silent is
 	// dead or cut off; its services are better started elsewhere at once.
 	patience := 3*report + micros.Second/2
+	// Not so one that we have claimed but not heard yet: it may still be looking for
+	// us. It has until its lease must have ended.
 	ours, quiet := 0, 0
 	for _, m := range c.view.machines {
 		if m.w != nil {
@@ -761,7 +777,7 @@
 			c.remove(m, "cancelled tasks out of reach")
 		case w.noticed && silent > 2*report+micros.Second:
 			c.remove(m, "taken")
-		case silent > patience && 3*quiet <= ours:
+		case silent > patience && 3*quiet <= ours && w.acked:
 			// Deleting it proves its tasks gone long before its lease would. Not
 			// when many are silent: then it is we who are cut off.
 			c.remove(m, "silent")
