--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -109,6 +110,7 @@
 	ownAt      micros.T // when a machine's claimant may be changed again
 	dirty      bool     // a turn may find something to do
 	arrivals   map[string]*arrival
+	claimSeen  map[string]claimSeen
 	claiming   map[string]bool // pages being taken over
 	jobBusy    map[string]bool // jobs with a change of their record in flight
 	accepted   map[string]uint64
@@ -138,7 +140,7 @@
 		cfg: cfg, set: set, env: env, log: log, node: cfg.Node,
 		inc:    env.Rand().Uint64()>>16 | 1,
 		peerOK: map[string]micros.T{}, peerSeen: map[string]micros.T{}, deadSince: map[string]micros.T{},
-		pages: map[string]*pageState{}, fresh: map[string]*bookkeeping.Page{}, arrivals: map[string]*arrival{},
+		pages: map[string]*pageState{}, fresh: map[string]*bookkeeping.Page{}, arrivals: map[string]*arrival{}, claimSeen: map[string]claimSeen{},
 		claiming: map[string]bool{}, jobBusy: map[string]bool{}, accepted: map[string]uint64{}, teamShort: map[string]shortage{},
 		jobState: map[string]*jobState{}, bias: map[string]float64{}, sightings: map[string]*sighting{},
 		preempting: map[string]*preemption{}, emptyAt: map[string]micros.T{}, closedAt: map[string]micros.T{},
@@ -805,6 +807,30 @@
 	})
 }
 
+// LogWaiting tells at debug which jobs wait at the front, and why.
+func (c *Core) LogWaiting() {
+	if !c.log.Enabled(context.Background(), slog.LevelDebug) {
+		return
+	}
+	s := ""
+	for i, j := range c.openJobs() {
+		if i == 12 {
+			break
+		}
+		slack, missed := c.slack(j, c.env.Wall())
+		s += fmt.Sprintf(" %s(%s %s age %.0f slack %.0f missed %d hungry %v owed %v waits %d ours %d)", j.id, j.rec.Spec.Class, j.rec.Spec.Team,
+			micros.T(c.env.Wall()-j.rec.At).Seconds(), slack, missed, c.starved(j, c.now()), c.owed(j), j.waiting(), j.pendingOf(c.node))
+	}
+	shares := ""
+	for i := range c.cfg.Facts.Teams {
+		team := c.cfg.Facts.Teams[i].Name
+		if limit, _ := c.team(team); limit.limited() {
+			shares += fmt.Sprintf(" %s share %.0f left %.0f pool %.0f", team, c.partShare(c.node, team).cpus, c.shareLeft(team).cpus, c.pool(team).cpus)
+		}
+	}
+	c.log.Debug("waiting", "jobs", s, "shares", shares)
+}
+
 // Summary is one line about the node, for the log.
 func (c *Core) Summary() string {
 	pages, waiting, running, used, all := 0, 0, 0, 0.0, 0.0
--- a/internal/coordination/pages.go
+++ b/internal/coordination/pages.go
@@ -38,6 +38,12 @@
 	back  []func(ok bool)
 }
 
+// claimSeen is since when we know of the claim that a page is held under.
+type claimSeen struct {
+	claim, incarnation uint64
+	at                 micros.T
+}
+
 // draft is a page as it will be written.
 type draft struct {
 	name    string
@@ -119,9 +125,13 @@
 	}
 	if p == nil {
 		delete(c.pages, name)
+		delete(c.claimSeen, name)
 		return
 	}
 	delete(c.fresh, name)
+	if s := c.claimSeen[name]; s.claim != p.rec.Claim || s.incarnation != p.rec.Incarnation {
+		c.claimSeen[name] = claimSeen{p.rec.Claim, p.rec.Incarnation, c.now()}
+	}
 	mine := c.owns(p)
 	for id := range p.rec.Machines {
 		if m := c.view.machines[id]; m != nil && (mine || m.w != nil) {
@@ -275,7 +285,7 @@
 		}
 		ask := c.view.asks[c.view.askOf[id]]
 		switch {
-		case known && (a.from == nil || a.from.name != m.page.name || c.claiming[m.page.name]):
+		case known && (a.from == nil || !c.isLive(m.owner()) || a.from.name != m.page.name || c.claiming[m.page.name]):
 			continue // somebody else has it
 		case !known && (ask == nil || c.designated(ask, id) != c.node || c.view.watched < ask.version):
 			continue
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -222,7 +222,7 @@
 	switch {
 	case owner == c.node:
 		c.inherit(now) // an earlier life of ours
-		answer(errorReply(503, "being claimed"))
+		c.arrive(rep, nil, answer)
 		return
 	case !live:
 		if h := home(m.page.name, c.live()); h != c.node {
@@ -230,15 +230,17 @@
 			return
 		}
 		c.inherit(now)
-		answer(errorReply(503, "being claimed"))
+		c.arrive(rep, nil, answer)
 		return
 	case member.rec.Incarnation != m.page.rec.Incarnation:
 		answer(c.redirect(owner)) // it has just come back and claims its pages
 		return
 	case c.heard(owner, now):
-		// It lives, and the worker had it and lost it: no use in waiting, its lease
-		// may not last for another round.
-		adopt = rep.Token >= m.claim()<<32 || now-first > lease/3
+		// It lives. A worker that had it for long and lost it needn't be sent there
+		// again, its lease may not last for another round. One that goes round
+		// because its owner was gone for a moment must find it: that the owner has
+		// spoken to it since doesn't tell that it reports there.
+		adopt = now-first > lease/3 || rep.Token >= m.claim()<<32 && now-c.claimSeen[m.page.name].at > lease
 	default:
 		// Crashed, perhaps back in a moment; or cut off, then its membership ends.
 		adopt = now-first > lease/3
@@ -278,7 +280,9 @@
 	})
 }
 
-// arrive has a machine taken into our pages by the next turn.
+// arrive has a machine taken into our pages by the next turn; from is the page of
+// another part that it stands in. Without one, and in a page already, it waits for
+// the claim that is on its way.
 func (c *Core) arrive(rep *protocol.Report, from *page, answer func(Reply)) {
 	a := c.arrivals[rep.Machine]
 	if a == nil {
@@ -291,6 +295,10 @@
 			answer(c.report(m, rep))
 			return
 		}
+		if m := c.view.machines[rep.Machine]; m != nil && m.rec != nil && m.owner() != c.node && c.isLive(m.owner()) {
+			answer(c.redirect(m.owner()))
+			return
+		}
 		answer(errorReply(503, "claim not made"))
 	})
 	c.dirty = true
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -166,6 +166,7 @@
 		if now := clock(); now-summary > 30*micros.Second {
 			summary = now
 			log.Info("summary", "state", core.Summary())
+			core.LogWaiting()
 		}
 	}
 }
