--- a/internal/coordination/pages.go
+++ b/internal/coordination/pages.go
@@ -54,6 +54,7 @@
 	txn     protocol.Txn // what else the commit asks and changes
 	conds   map[string]bool
 	freed   map[string]amount // by machine: released by this turn
+	given   map[string]amount // by team: the same, and not yet used again
 	taken   map[string]amount // by machine: assigned by this turn
 	use     map[string]amount // by team: assigned by this turn
 	tasks   map[taskRef]bool
@@ -78,7 +79,7 @@
 }
 
 func newDraft(name string, old *page, next *bookkeeping.Page) *draft {
-	return &draft{name: name, old: old, next: next, conds: map[string]bool{}, freed: map[string]amount{},
+	return &draft{name: name, old: old, next: next, conds: map[string]bool{}, freed: map[string]amount{}, given: map[string]amount{},
 		taken: map[string]amount{}, use: map[string]amount{}, tasks: map[taskRef]bool{}, jobs: map[string]bool{},
 		done: map[string]bool{}, arrived: map[string]*arrival{}, told: map[string]bool{}}
 }
@@ -198,6 +199,7 @@
 		}
 		if j := c.view.jobs[ref.job]; j != nil {
 			d.freed[m.id] = d.freed[m.id].plus(j.need, 1)
+			d.given[j.rec.Spec.Team] = d.given[j.rec.Spec.Team].plus(j.need, 1)
 		}
 	}
 	for _, id := range sortedKeys(p.rec.Machines) {
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -73,6 +73,7 @@
 type standing struct {
 	job    *job
 	slack  float64 // seconds that it may still wait
+	work   float64 // CPU seconds that wait
 	missed int     // aims that it can't meet any more
 	owed   bool    // its team is within its guarantee
 	hungry bool    // got nothing for long, see starved
@@ -80,10 +81,10 @@
 
 // before orders jobs: higher priority first; of the same priority those first
 // whose team doesn't yet use its guarantee, then those that can still meet the
-// first of their aims, the least slack first, then those that can meet the next;
-// last, the oldest first, what can meet none. Past what can be done, going by the
-// deadline alone would spend all machines on jobs that are late already and make
-// every other late.
+// first of their aims, then those that can meet the next, the least waiting work
+// first; last, the oldest first, what can meet none. Past what can be done, going
+// by the deadline would have every job end just after its own: a few large ones
+// wait instead, not without limit, and the many others are in time.
 // Before all other arrays, whatever their priority, comes one that has been
 // waiting in vain for long, with a part of its tasks.
 func (a standing) before(b standing) bool {
@@ -103,8 +104,8 @@
 	if a.missed != b.missed {
 		return a.missed < b.missed
 	}
-	if a.slack >= 0 && b.slack >= 0 && a.slack != b.slack {
-		return a.slack < b.slack
+	if a.slack >= 0 && b.slack >= 0 && a.work != b.work {
+		return a.work < b.work
 	}
 	if x.rec.At != y.rec.At {
 		return x.rec.At < y.rec.At
@@ -119,7 +120,8 @@
 	for _, j := range c.view.jobs {
 		if j.open() && j.waiting() > 0 {
 			slack, missed := c.slack(j, wall)
-			all = append(all, standing{j, slack, missed, c.owed(j), c.starved(j, now)})
+			work := float64(j.waiting()) * j.need.cpus * c.expected(&j.rec.Spec)
+			all = append(all, standing{j, slack, work, missed, c.owed(j), c.starved(j, now)})
 		}
 	}
 	sort.Slice(all, func(a, b int) bool { return all[a].before(all[b]) })
@@ -216,16 +218,14 @@
 				if roomless || short || most == 0 {
 					continue
 				}
-				if !j.need.fits(room) {
-					short = true
-					continue
-				}
-				if cd == nil || spec.Service || !j.need.fits(cd.free) || !zones.ok(cd.rec.Zone) || cd.tasks >= mostOnMachine ||
+				// What a page's own attempts give back can be used by the same write.
+				again := !j.need.fits(room)
+				if cd == nil || again && !j.need.fits(cd.d.given[spec.Team]) || spec.Service || !j.need.fits(cd.free) || !zones.ok(cd.rec.Zone) || cd.tasks >= mostOnMachine ||
 					cd.d.bound+2*bookkeeping.TaskBound(i) > c.pageLimit() {
-					cd = c.choose(j, cands, zones, only, sample)
+					cd = c.choose(j, cands, zones, only, sample, again)
 				}
 				if cd == nil {
-					roomless = true
+					short, roomless = again, !again
 					continue
 				}
 				if spec.Service && !cd.m.images[spec.Image] && !c.waited(j, wall) && c.preempt(j, 1, zones, cands, true, now) {
@@ -258,7 +258,11 @@
 					cd.placed += j.need.cpus
 				}
 				cd.m.images[spec.Image] = true
-				room = room.plus(j.need, -1)
+				if given := d.given[spec.Team]; limit.limited() && j.need.fits(given) {
+					d.given[spec.Team] = given.plus(j.need, -1)
+				} else {
+					room = room.plus(j.need, -1)
+				}
 				zones.add(cd.rec.Zone, 1)
 				if fenced {
 					only = d
@@ -356,7 +360,8 @@
 // choose picks the machine for a task: spot before ordinary where the job may,
 // one that has the image, the tightest fit. Under overload it looks at a sample,
 // and at all before it says that there is no room.
-func (c *Core) choose(j *job, cands []*candidate, zones *zoneRule, only *draft, sample bool) *candidate {
+// given: only pages that give back enough of the team's share.
+func (c *Core) choose(j *job, cands []*candidate, zones *zoneRule, only *draft, sample, given bool) *candidate {
 	var best *candidate
 	bestScore := math.Inf(1)
 	spec := &j.rec.Spec
@@ -364,7 +369,7 @@
 	limit, conds := c.pageLimit()-len(j.id)-32, 4*c.cfg.Facts.State.TxnOps-4
 	look := func(cd *candidate) {
 		if !j.need.fits(cd.free) || !mayRun(spec, cd.rec) || !zones.ok(cd.rec.Zone) || cd.tasks >= mostOnMachine ||
-			only != nil && cd.d != only || cd.d.bound > limit || len(cd.d.txn.If) >= conds && !cd.d.jobs[j.id] {
+			only != nil && cd.d != only || given && !j.need.fits(cd.d.given[spec.Team]) || cd.d.bound > limit || len(cd.d.txn.If) >= conds && !cd.d.jobs[j.id] {
 			return
 		}
 		if notes != nil && notes.failedOn[cd.m.id] {
