--- a/internal/coordination/cluster_test.go
+++ b/internal/coordination/cluster_test.go
@@ -28,9 +28,12 @@
 	set    config.Settings
 	teams  []config.Team
 	cut    map[string]bool // "machine-node" or "node-node" pairs that can't talk
+	deaf   map[string]bool // machines whose reports arrive, but nothing reaches them
+	unseen map[string]bool // machines that are reached, but whose reports don't arrive
 	lateDo func(w *standin.Worker, req *protocol.DoRequest) micros.T
 	next   int
-	facts  func(*config.Config) // changes what the platform hands over
+	copies func(w *standin.Worker, node string, body []byte) // sees every report on its way
+	facts  func(*config.Config)                              // changes what the platform hands over
 }
 
 // simNode is one controller; its env drops whatever belongs to an earlier life.
@@ -86,7 +89,7 @@
 			delay += c.lateDo(w, req)
 		}
 		c.sim.After(delay, func() {
-			if w.Machine.Gone || w.Silent || w.Hanging || c.cut[id+"-"+e.n.name] {
+			if w.Machine.Gone || w.Silent || w.Hanging || c.cut[id+"-"+e.n.name] || c.deaf[id] {
 				return
 			}
 			r := protocol.DoResult{Status: 200}
@@ -120,7 +123,7 @@
 func newCluster(t testing.TB, seed uint64) *cluster {
 	sim := standin.NewSim(seed)
 	c := &cluster{t: t, sim: sim, names: []string{"n-0", "n-1", "n-2"}, nodes: map[string]*simNode{},
-		set: config.Defaults(), cut: map[string]bool{},
+		set: config.Defaults(), cut: map[string]bool{}, deaf: map[string]bool{}, unseen: map[string]bool{},
 		teams: []config.Team{{Name: "free"}, {Name: "tight", CPUs: 8, CPUsMax: 12}}}
 	c.store = standin.NewStore(sim, 200, 50, 12)
 	c.cloud = standin.NewCloud(sim, testTypes)
@@ -141,11 +144,17 @@
 	}
 	c.cloud.OnGone = c.fleet.Down
 	c.fleet.Send = func(w *standin.Worker, node string, body []byte, back func(int, []byte)) {
-		if c.cut[w.Machine.ID+"-"+node] {
+		if c.cut[w.Machine.ID+"-"+node] || c.unseen[w.Machine.ID] {
 			return
 		}
+		if c.copies != nil {
+			c.copies(w, node, body)
+		}
 		c.sim.After(2*micros.Millisecond, func() {
 			c.request(node, "POST", "/checkin", body, func(r Reply) {
+				if c.deaf[w.Machine.ID] {
+					return
+				}
 				c.sim.After(2*micros.Millisecond, func() { back(r.Status, r.Body) })
 			})
 		})
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -818,8 +818,9 @@
 			break
 		}
 		slack, missed := c.slack(j, c.env.Wall())
-		s += fmt.Sprintf(" %s(%s %s age %.0f slack %.0f missed %d hungry %v owed %v waits %d ours %d)", j.id, j.rec.Spec.Class, j.rec.Spec.Team,
-			micros.T(c.env.Wall()-j.rec.At).Seconds(), slack, missed, c.starved(j, c.now()), c.owed(j), j.waiting(), j.pendingOf(c.node))
+		s += fmt.Sprintf(" %s(%s %s age %.0f slack %.0f missed %d hungry %v owed %v waits %d ours %d paused_ms %d busy %v behind %v)", j.id, j.rec.Spec.Class, j.rec.Spec.Team,
+			micros.T(c.env.Wall()-j.rec.At).Seconds(), slack, missed, c.starved(j, c.now()), c.owed(j), j.waiting(), j.pendingOf(c.node),
+			max(0, c.jobNotes(j.id).until-c.now()).Millis(), c.jobBusy[j.id], c.view.watched < j.version)
 	}
 	shares := ""
 	for i := range c.cfg.Facts.Teams {
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -17,7 +17,8 @@
 	handPause     = 1 * micros.Second
 	mostOnMachine = 300 // tasks on a machine: what a report of 64 KiB can name
 	fairAfter     = 100 * micros.Second
-	fairPart      = 8 // a job that got nothing for so long gets one of so many parts of it
+	fairAgain     = 45 * micros.Second // the same once it has begun
+	fairPart      = 8                  // a job that got nothing for so long gets one of so many parts of it
 )
 
 // candidate is a machine with the room that a pass still has on it.
@@ -151,6 +152,9 @@
 		}
 		n.most = got
 	}
+	if n.most > 0 {
+		return now-n.movedAt > fairAgain
+	}
 	return now-n.movedAt > fairAfter
 }
 
--- a/internal/coordination/service_test.go
+++ b/internal/coordination/service_test.go
@@ -310,6 +310,20 @@
 				w.Silent = false
 			}
 		}},
+		{"machines whose reports don't arrive, but that are reached", func(c *cluster) {
+			for i, id := range sortedKeys(c.fleet.Workers) {
+				c.unseen[id] = i%2 == 0
+			}
+			c.sim.Run(16 * sec)
+			clear(c.unseen)
+		}},
+		{"machines that are heard, but that nothing reaches", func(c *cluster) {
+			for i, id := range sortedKeys(c.fleet.Workers) {
+				c.deaf[id] = i%2 == 0
+			}
+			c.sim.Run(40 * sec)
+			clear(c.deaf)
+		}},
 		{"machines hang within their lease and resume", func(c *cluster) {
 			for i, id := range sortedKeys(c.fleet.Workers) {
 				c.fleet.Workers[id].Hanging = i%2 == 0
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -53,6 +53,7 @@
 	checkSession, checkSeq uint64
 	checkAt                micros.T
 	answeredAt             micros.T // when we last answered one: its lease may run from there
+	sessionAt              micros.T // when we learned of its session: that may have begun then
 	aliveAt                micros.T // when it last showed that our answers reach it
 	asked                  uint64   // the token that it must show for that
 	answered               uint64   // the token of our last answer
@@ -415,6 +416,11 @@
 	w := m.w
 	now := c.now()
 	jumped := w.session != 0 && rep.Session > w.session
+	if rep.Session > w.session {
+		// A session has its lease from its own beginning, answered or not: what
+		// direct commands start in it lives on though no report reaches us.
+		w.sessionAt = now
+	}
 	w.session, w.seq = rep.Session, rep.Seq
 	w.noticed = w.noticed || rep.NoticeS != nil
 	w.repToken = rep.Token
@@ -763,7 +769,7 @@
 			continue
 		}
 		silent := now - w.aliveAt
-		if !w.lost && w.acked && now-w.answeredAt > proof {
+		if !w.lost && w.acked && now-max(w.answeredAt, w.sessionAt) > proof {
 			w.lost, w.acked = true, false
 			lost++
 			tasks += len(m.tasks)
