--- a/internal/bookkeeping/bookkeeping_test.go
+++ b/internal/bookkeeping/bookkeeping_test.go
@@ -133,10 +133,11 @@
 
 func TestQueue(t *testing.T) {
 	q := Queue{Reads: Bucket{Rate: 10, Burst: 4}, Writes: Bucket{Rate: 2, Burst: 2}, MaxInFlight: 100}
+	since := micros.T(0)
 	add := func(r Rank, writes int) {
 		sc := &protocol.StoreCall{}
 		sc.Txn.Then = make([]protocol.Op, writes)
-		q.Add(Call{StoreCall: sc, Rank: r})
+		q.Add(Call{StoreCall: sc, Rank: r, Since: since})
 	}
 	drain := func(now micros.T) (out []Rank, wait micros.T) {
 		for {
@@ -162,6 +163,19 @@
 	if got, _ = drain(1600 * micros.Millisecond); !reflect.DeepEqual(got, []Rank{RankUser, RankRest}) {
 		t.Fatalf("%v", got)
 	}
+	// Users go before pages, but don't keep them waiting for long.
+	since = 3*micros.Second - pageWaits
+	add(RankPage, 1)
+	add(RankUser, 1)
+	if got, _ = drain(3 * micros.Second); !reflect.DeepEqual(got, []Rank{RankUser, RankPage}) {
+		t.Fatalf("%v", got)
+	}
+	since -= 2
+	add(RankPage, 1)
+	add(RankUser, 1)
+	if got, _ = drain(4 * micros.Second); !reflect.DeepEqual(got, []Rank{RankPage, RankUser}) {
+		t.Fatalf("%v", got)
+	}
 	// What was throttled goes again before the others of its rank, after a pause.
 	add(RankUser, 1)
 	c, _, _ := q.Next(5 * micros.Second)
--- a/internal/bookkeeping/queue.go
+++ b/internal/bookkeeping/queue.go
@@ -49,12 +49,16 @@
 	RankLease Rank = iota
 	RankClaim
 	RankCancel
-	RankPage
 	RankUser
+	RankPage
 	RankRest
 	ranks
 )
 
+// pageWaits is how long users go before pages: a burst of submissions is over
+// sooner than that, a flood must not keep tasks from starting and ending.
+const pageWaits = 300 * micros.Millisecond
+
 // Call waits in the queue.
 type Call struct {
 	*protocol.StoreCall
@@ -92,6 +96,9 @@
 // debt rather than wait: the service must not lose its membership to its load.
 func (q *Queue) Next(now micros.T) (c Call, ok bool, wait micros.T) {
 	for r := range q.waiting {
+		if Rank(r) == RankUser && len(q.waiting[RankPage]) > 0 && now-q.waiting[RankPage][0].Since > pageWaits {
+			r = int(RankPage)
+		}
 		if len(q.waiting[r]) == 0 {
 			continue
 		}
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -170,7 +170,7 @@
 	}
 	c.liveShare = live
 	st := c.cfg.Facts.State
-	share := min(1, 1.3/float64(live))
+	share := min(1, 1.2/float64(live))
 	c.queue.Reads.Rate, c.queue.Reads.Burst = st.RPS*share, max(2, st.RPS*share/2)
 	c.queue.Writes.Rate, c.queue.Writes.Burst = st.WriteRPS*share, max(float64(st.TxnOps), st.WriteRPS*share/2)
 	// All watches together use at most a quarter of the store's requests.
@@ -178,8 +178,15 @@
 }
 
 // pageRate is how many pages a second this controller may write: a good half of
-// its share of the changes, the rest is the users' and the leader's.
-func (c *Core) pageRate() float64 { return 0.55 * c.cfg.Facts.State.WriteRPS / float64(c.liveShare) }
+// its share of the changes, the rest is the users' and the leader's; less while
+// users wait for theirs.
+func (c *Core) pageRate() float64 {
+	part := 0.55
+	if c.queue.Waiting(bookkeeping.RankUser) > 2 {
+		part = 0.35
+	}
+	return part * c.cfg.Facts.State.WriteRPS / float64(c.liveShare)
+}
 
 // Start begins the actor's work.
 func (c *Core) Start() {
