--- a/internal/coordination/pages.go
+++ b/internal/coordination/pages.go
@@ -1,7 +1,11 @@
 package coordination
 
 import (
+	"context"
 	"fmt"
+	"log/slog"
+	"sort"
+	"strings"
 
 	"pipitgap/internal/bookkeeping"
 	"pipitgap/internal/micros"
@@ -59,7 +63,8 @@
 	use     map[string]amount // by team: assigned by this turn
 	tasks   map[taskRef]bool
 	jobs    map[string]bool
-	done    map[string]bool // jobs with tasks completed
+	done    map[string]bool  // jobs with tasks completed
+	gone    map[taskRef]bool // attempts released
 	arrived map[string]*arrival
 	told    map[string]bool // machines with something new to do
 }
@@ -71,6 +76,24 @@
 	return d.old.version
 }
 
+// list names tasks for the log, with the machines they are given to.
+func (d *draft) list(tasks map[taskRef]bool) string {
+	var out []string
+	for ref := range tasks {
+		s := ref.String()
+		if e := d.next.Jobs[ref.job]; e != nil {
+			for _, h := range e.Held {
+				if h.Task == ref.index {
+					s += "@" + h.Machine
+				}
+			}
+		}
+		out = append(out, s)
+	}
+	sort.Strings(out)
+	return strings.Join(out, " ")
+}
+
 func (d *draft) cond(key string, version uint64) {
 	if !d.conds[key] {
 		d.conds[key] = true
@@ -81,7 +104,7 @@
 func newDraft(name string, old *page, next *bookkeeping.Page) *draft {
 	return &draft{name: name, old: old, next: next, conds: map[string]bool{}, freed: map[string]amount{}, given: map[string]amount{},
 		taken: map[string]amount{}, use: map[string]amount{}, tasks: map[taskRef]bool{}, jobs: map[string]bool{},
-		done: map[string]bool{}, arrived: map[string]*arrival{}, told: map[string]bool{}}
+		done: map[string]bool{}, gone: map[taskRef]bool{}, arrived: map[string]*arrival{}, told: map[string]bool{}}
 }
 
 // owns tells whether a page is ours, in this life of ours.
@@ -193,6 +216,7 @@
 	d.changed = len(s.floating) > 0 // writing it anew settles what became of that
 	release := func(m *machine, ref taskRef, done bool) {
 		d.changed = true
+		d.gone[ref] = true
 		d.next.Release(ref.job, ref.index, done)
 		if done {
 			d.done[ref.job] = true
@@ -440,8 +464,8 @@
 					c.sync(m)
 				}
 			}
-			if len(d.tasks) > 0 || len(d.arrived) > 0 {
-				c.log.Debug("page written", "page", d.name, "assigned", len(d.tasks), "arrived", len(d.arrived), "bound", d.bound)
+			if c.log.Enabled(context.Background(), slog.LevelDebug) {
+				c.log.Debug("page written", "page", d.name, "assigned", d.list(d.tasks), "released", d.list(d.gone), "arrived", len(d.arrived), "bound", d.bound)
 			}
 		case protocol.Unknown:
 			s.settle(c.view.versionOf(key))
