Waiting tasks of a part that has gone have an heir, with room or without

Also: arrays fill machines with services before spot ones, and services are packed up to what 2% of them hold.

--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -106,6 +106,8 @@
 	fresh      map[string]*bookkeeping.Page // new pages that the mirror hasn't yet
 	pageSeq    int
 	turnAt     micros.T
+	served     float64 // CPUs that all services hold
+	orphanAt   micros.T
 	takeAt     micros.T // when tasks may change their part again
 	ownAt      micros.T // when a machine's claimant may be changed again
 	dirty      bool     // a turn may find something to do
--- a/internal/coordination/pages.go
+++ b/internal/coordination/pages.go
@@ -541,12 +541,7 @@
 	if c.isLive(owner) {
 		return false
 	}
-	since, ok := c.deadSince[owner]
-	if !ok {
-		c.deadSince[owner] = now
-		return false
-	}
-	return now-since > micros.Second && home(p.name, live) == c.node
+	return now-c.gone(owner, now) > micros.Second && home(p.name, live) == c.node
 }
 
 // claim takes over pages of one owner: a conditional write that raises the claim
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -27,7 +27,7 @@
 	rec    *bookkeeping.PageMachine
 	d      *draft // nil where only the room counts
 	free   amount
-	placed float64 // CPUs of services placed by this pass
+	served float64 // CPUs that services hold, this pass's too
 	tasks  int
 	closed bool // closing: reopened if nothing else has room
 	held   bool // kept for a more urgent job that hasn't room yet
@@ -59,7 +59,7 @@
 			}
 			free := capacity(&t).plus(m.used, -1).plus(d.freed[id], 1).plus(d.taken[id], -1)
 			_, closed := c.closedAt[id]
-			out = append(out, &candidate{m: m, rec: rec, d: d, free: free, tasks: len(m.tasks), closed: closed})
+			out = append(out, &candidate{m: m, rec: rec, d: d, free: free, served: c.serviceCPUs(m), tasks: len(m.tasks), closed: closed})
 		}
 	}
 	return out
@@ -175,6 +175,12 @@
 	if len(jobs) == 0 {
 		return
 	}
+	c.served = 0
+	for _, j := range c.view.jobs {
+		if j.rec.Spec.Service && j.open() {
+			c.served += float64(j.held) * j.need.cpus
+		}
+	}
 	cands := c.candidates(ds, now)
 	sample := len(cands) > fullSearch && len(cands)*len(jobs) > fullWork
 	floating := c.floatingTasks()
@@ -259,7 +265,7 @@
 				cd.free = cd.free.plus(j.need, -1)
 				cd.tasks++
 				if spec.Service {
-					cd.placed += j.need.cpus
+					cd.served += j.need.cpus
 				}
 				cd.m.images[spec.Image] = true
 				if given := d.given[spec.Team]; limit.limited() && j.need.fits(given) {
@@ -304,6 +310,7 @@
 			}
 		}
 	}
+	c.adoptOrphans(jobs, now)
 	c.take(jobs, cands, left, now)
 }
 
@@ -380,9 +387,14 @@
 			return
 		}
 		score := cd.free.cpus
-		if spec.Spot && !cd.rec.Spot {
+		if spec.Spot && !cd.rec.Spot && cd.served == 0 {
 			score += 1e6
 		}
+		if spec.Spot && cd.rec.Spot {
+			// An ordinary machine with services stays in any case: filling it first
+			// leaves spot machines to empty.
+			score += keptFirst
+		}
 		if cd.closed {
 			score += 1e5
 		}
@@ -392,11 +404,10 @@
 		if spec.Service {
 			// Services last: kept together they leave other machines to empty. But
 			// not too many: all of them go down with their machine.
-			most := c.types[cd.rec.Type].CPUs / packedPart
-			if held := c.serviceCPUs(cd); held <= most {
-				score -= 8 * held
+			if most := c.packed(c.types[cd.rec.Type].CPUs); cd.served <= most {
+				score -= 8 * cd.served
 			} else {
-				score += 8 * (held - most)
+				score += 8 * (cd.served - most)
 			}
 		}
 		if score < bestScore {
@@ -417,15 +428,15 @@
 	return best
 }
 
-// serviceCPUs tells what services hold of a machine, with this pass's.
-func (c *Core) serviceCPUs(cd *candidate) float64 {
+// serviceCPUs tells what services hold of a machine.
+func (c *Core) serviceCPUs(m *machine) float64 {
 	n := 0.0
-	for ref := range cd.m.tasks {
+	for ref := range m.tasks {
 		if j := c.view.jobs[ref.job]; j != nil && j.rec.Spec.Service {
 			n += j.need.cpus
 		}
 	}
-	return n + cd.placed
+	return n
 }
 
 // owedAfter is how long a job within a guarantee looks for free room first.
@@ -434,9 +445,23 @@
 // owedAtOnce is how many tasks of a job get room by its team's guarantee at a time.
 const owedAtOnce = 4
 
-// packedPart: services are drawn to a machine until they hold one of so many
-// parts of it.
-const packedPart = 4
+// Services are drawn to a machine until they hold one of packedPart parts of it, or
+// fleetPart of what all services hold, if that is more: then losing the machine is
+// no more of a loss. fullPart is the most that they are to hold.
+const (
+	packedPart = 4
+	fleetPart  = 0.02
+	fullPart   = 0.75
+)
+
+// packed is up to how many of a machine's CPUs services are drawn to it.
+func (c *Core) packed(cpus float64) float64 {
+	return min(max(cpus/packedPart, fleetPart*c.served), fullPart*cpus)
+}
+
+// keptFirst is what a tight fit or an image at hand must be worth for a task to go
+// to a spot machine rather than beside services.
+const keptFirst = 50
 
 // imageWeight weighs an image fetch against a tighter fit: a service counts as
 // started only once its image is there, and it stays, so it pays to wait for
--- a/internal/coordination/shares.go
+++ b/internal/coordination/shares.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"fmt"
 	"math"
 	"sort"
 
@@ -92,22 +93,20 @@
 	return out
 }
 
-// reshare gives a range of a job's tasks to a part. Whatever its owner assigned
+// reshare changes which parts place a job's tasks. Whatever a range's owner assigned
 // before stands in the pages by then, whatever it would assign after fails on the
 // record's version; so the new owner may begin once its mirror has come that far.
-func (c *Core) reshare(j *job, first, end int, to string) bool {
-	if c.jobBusy[j.id] || len(j.rec.Shares) >= mostShares || c.now() < c.takeAt {
+func (c *Core) reshare(j *job, shares []bookkeeping.Share) bool {
+	if c.jobBusy[j.id] || len(shares) > mostShares {
 		return false
 	}
 	rec := j.rec
-	rec.Shares = bookkeeping.Reshare(j.rec.Shares, first, end, to)
+	rec.Shares = shares
 	value := protocol.MustMarshal(&rec)
 	if 2*len(value) > c.valueBytes() {
 		return false
 	}
 	c.jobBusy[j.id] = true
-	// A change for each: what is spent here the pages lack.
-	c.takeAt = c.now() + micros.FromSeconds(float64(c.liveShare)/(0.1*c.cfg.Facts.State.WriteRPS))
 	key := bookkeeping.Key(bookkeeping.KindOpen, j.id)
 	c.commit(bookkeeping.RankPage, protocol.Txn{
 		If:   []protocol.Cond{{Key: key, Version: j.version}},
@@ -116,12 +115,63 @@
 		delete(c.jobBusy, j.id)
 		c.dirty = true
 		if r.Outcome == protocol.OK {
-			c.log.Debug("tasks change their part", "job", j.id, "first", first, "end", end, "to", to)
+			c.log.Debug("tasks change their part", "job", j.id, "shares", fmt.Sprint(shares))
 		}
 	})
 	return true
 }
 
+// spaced tells when something that costs a change may be done again, if all
+// controllers together may spend that part of the store's changes on it: what is
+// spent here the pages lack.
+func (c *Core) spaced(part float64) micros.T {
+	return c.now() + micros.FromSeconds(float64(c.liveShare)/(part*c.cfg.Facts.State.WriteRPS))
+}
+
+// adoptOrphans takes over the waiting tasks of parts that have gone. Each job has
+// one heir for that, whether it has room for them or not: only their owner makes
+// room for services by stopping others' work, or rents for nobody else to place.
+func (c *Core) adoptOrphans(jobs []*job, now micros.T) {
+	live := c.live()
+	for _, j := range jobs {
+		if now < c.orphanAt {
+			return
+		}
+		if c.jobBusy[j.id] || c.view.watched < j.version || home(j.id, live) != c.node {
+			continue
+		}
+		shares := j.rec.Shares
+		for _, s := range j.rec.Shares {
+			if !c.isLive(s.Part) && now-c.gone(s.Part, now) > micros.Second {
+				shares = bookkeeping.Reshare(shares, s.First, s.End, c.node)
+			}
+		}
+		if len(shares) != len(j.rec.Shares) || !sameShares(shares, j.rec.Shares) {
+			if c.reshare(j, shares) {
+				c.orphanAt = c.spaced(0.4)
+			}
+		}
+	}
+}
+
+// gone tells since when a controller is missed.
+func (c *Core) gone(node string, now micros.T) micros.T {
+	at, ok := c.deadSince[node]
+	if !ok {
+		c.deadSince[node], at = now, now
+	}
+	return at
+}
+
+func sameShares(a, b []bookkeeping.Share) bool {
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
 // take looks for waiting tasks of other parts that ours has room for: of parts
 // that have gone, have no room for them, or haven't used what they seem to have.
 // That hands tasks on in one write, at the time when there is room, and lets each
@@ -180,7 +230,8 @@
 			if n == 0 || whole && n > room && c.isLive(s.Part) {
 				continue
 			}
-			if c.reshare(j, first, s.End, c.node) {
+			if c.reshare(j, bookkeeping.Reshare(j.rec.Shares, first, s.End, c.node)) {
+				c.takeAt = c.spaced(0.1)
 				return
 			}
 			break
@@ -191,8 +242,10 @@
 // handOver gives our waiting tasks of a job to a part that can make room.
 func (c *Core) handOver(j *job, to string) {
 	for _, s := range j.rec.Shares {
-		if s.Part == c.node {
-			c.reshare(j, s.First, s.End, to)
+		if s.Part == c.node && c.now() >= c.takeAt {
+			if c.reshare(j, bookkeeping.Reshare(j.rec.Shares, s.First, s.End, to)) {
+				c.takeAt = c.spaced(0.1)
+			}
 			return
 		}
 	}
--- a/internal/coordination/shares_test.go
+++ b/internal/coordination/shares_test.go
@@ -5,6 +5,7 @@
 
 	"pipitgap/internal/bookkeeping"
 	"pipitgap/internal/protocol"
+	"pipitgap/internal/standin"
 )
 
 // TestShareLeft: what a part may still assign within a team's limit.
@@ -78,3 +79,55 @@
 		c.rules()
 	}
 }
+
+// TestOrphans: a service whose part has gone gets room by stopping lesser work,
+// though no part has any free. Left to whoever has room, it waited for a minute.
+func TestOrphans(t *testing.T) {
+	c := newCluster(t, 34)
+	clear(c.cloud.Capacity)
+	c.cloud.Capacity[standin.Offer("m8", "a", false)] = 6
+	c.steady()
+	array := c.submit(400*sec, jobOf{"pips": 90}) // more than fits: no room stays free
+	if !c.sim.RunUntil(60*sec, func() bool { return c.fleet.Running(array) == 24 }) {
+		t.Fatalf("array: %d run", c.fleet.Running(array))
+	}
+	var services []string
+	for i := 0; i < 6; i++ {
+		services = append(services, c.submit(0, jobOf{"shape": "daemon", "rank": "prod", "cores": 4.0}))
+	}
+	all := func() bool {
+		for _, id := range services {
+			if c.fleet.Running(id) != 1 {
+				return false
+			}
+		}
+		return true
+	}
+	if !c.sim.RunUntil(20*sec, all) {
+		t.Fatal("services not started")
+	}
+	// A controller goes, and the machines with those services that it placed.
+	hit := 0
+	for _, id := range services {
+		j := c.nodes["n-0"].core.view.jobs[id]
+		if j.rec.Shares[0].Part != "n-1" {
+			continue
+		}
+		for _, w := range c.fleet.Workers {
+			if w.Tasks[id+"/0"] != nil {
+				hit++
+				w.Silent = true
+				c.fleet.Down(w.Machine)
+			}
+		}
+	}
+	if hit == 0 {
+		t.Fatal("no service was placed by n-1")
+	}
+	c.kill("n-1")
+	c.cloud.Capacity[standin.Offer("m8", "a", false)] = -100
+	if !c.sim.RunUntil(60*sec, all) {
+		t.Error("a service of the part that has gone is still down")
+	}
+	c.rules()
+}
