--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -108,9 +108,10 @@
 	turnAt     micros.T
 	served     float64 // CPUs that all services hold
 	orphanAt   micros.T
-	takeAt     micros.T // when tasks may change their part again
-	ownAt      micros.T // when a machine's claimant may be changed again
-	dirty      bool     // a turn may find something to do
+	turnJobs   map[string]bool // jobs with tasks assigned by the turn under way
+	takeAt     micros.T        // when tasks may change their part again
+	ownAt      micros.T        // when a machine's claimant may be changed again
+	dirty      bool            // a turn may find something to do
 	arrivals   map[string]*arrival
 	claimSeen  map[string]claimSeen
 	claiming   map[string]bool // pages being taken over
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -18,7 +18,7 @@
 	mostOnMachine = 300 // tasks on a machine: what a report of 64 KiB can name
 	fairAfter     = 100 * micros.Second
 	fairAgain     = 45 * micros.Second // the same once it has begun
-	fairPart      = 8                  // a job that got nothing for so long gets one of so many parts of it
+	fairPart      = 4                  // a job that got nothing for so long gets one of so many parts of it
 )
 
 // candidate is a machine with the room that a pass still has on it.
@@ -141,21 +141,28 @@
 		return false
 	}
 	n := c.jobNotes(j.id)
-	if got := j.done + j.held; got > n.most || n.movedAt == 0 {
-		if n.movedAt == 0 { // first seen: it may have waited before we began
+	got := j.done + j.held
+	if n.movedAt == 0 { // first seen: it may have waited before we began
+		n.movedAt = max(1, now)
+		if got == 0 {
 			n.movedAt = max(1, now-micros.T(min(max(0, c.env.Wall()-j.rec.At), int64(2*fairAfter))))
-			if got > 0 {
-				n.movedAt = max(1, now)
-			}
-		} else {
-			n.movedAt = now
 		}
-		n.most = got
 	}
+	if got > n.most {
+		n.most, n.movedAt = got, now
+	}
+	if got < n.due {
+		return true // room comes bit by bit
+	}
+	after := fairAfter
 	if n.most > 0 {
-		return now-n.movedAt > fairAgain
+		after = fairAgain
+	}
+	if now-n.movedAt <= after {
+		return false
 	}
-	return now-n.movedAt > fairAfter
+	n.due = got + max(1, j.waiting()/fairPart)
+	return true
 }
 
 // owed tells whether one more task of a job lies within its team's guarantee.
@@ -175,6 +182,7 @@
 	if len(jobs) == 0 {
 		return
 	}
+	c.turnJobs = map[string]bool{}
 	c.served = 0
 	for _, j := range c.view.jobs {
 		if j.rec.Spec.Service && j.open() {
@@ -201,7 +209,7 @@
 		}
 		most := spec.Tasks
 		if c.starved(j, now) {
-			most = max(1, j.pendingOf(c.node)/fairPart)
+			most = max(1, notes.due-j.done-j.held)
 		}
 		fenced := spec.OneZone || spec.Spread
 		zones := newZoneRule(c.view, j)
@@ -255,6 +263,7 @@
 				}
 				d.bound += 2*bookkeeping.TaskBound(i) + 12
 				d.changed = true
+				c.turnJobs[j.id] = true
 				d.next.Assign(j.id, bookkeeping.Held{Task: i, Machine: cd.m.id, Attempt: c.view.newest})
 				d.tasks[taskRef{j.id, i}] = true
 				d.taken[cd.m.id] = d.taken[cd.m.id].plus(j.need, 1)
--- a/internal/coordination/shares.go
+++ b/internal/coordination/shares.go
@@ -97,7 +97,10 @@
 // before stands in the pages by then, whatever it would assign after fails on the
 // record's version; so the new owner may begin once its mirror has come that far.
 func (c *Core) reshare(j *job, shares []bookkeeping.Share) bool {
-	if c.jobBusy[j.id] || len(shares) > mostShares {
+	// Both this and an assignment change or ask for the job's record: with one of the
+	// same turn on its way, one of the two would fail, and two parts could go on
+	// handing a job to and fro without ever starting it.
+	if c.jobBusy[j.id] || c.turnJobs[j.id] || len(shares) > mostShares {
 		return false
 	}
 	rec := j.rec
@@ -200,8 +203,19 @@
 				room += j.need.count(cd.free)
 			}
 		}
-		if l, ok := left[spec.Team]; ok {
-			room = min(room, j.need.count(l))
+		if room == 0 {
+			continue
+		}
+		l, ok := left[spec.Team]
+		if !ok {
+			l = c.shareLeft(spec.Team)
+			left[spec.Team] = l
+		}
+		if n := j.need.count(l); n < room {
+			// A part with machines but without a share of the team's limit would leave
+			// the tasks for ever to one with a share but without machines.
+			c.lacks(spec.Team, j.need, min(room-n, j.waiting()), l)
+			room = n
 		}
 		if room == 0 {
 			continue
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -702,6 +702,7 @@
 	until    micros.T // not to be placed before
 	step     micros.T
 	most     int      // tasks that it had begun when it last got on
+	due      int      // tasks that it is to have begun before it is starved no more
 	movedAt  micros.T // when that was
 	handedAt micros.T // when its tasks were last handed to another part
 }
