--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -52,6 +52,7 @@
 	slowTick      = 500 * micros.Millisecond
 	commandWithin = 3 * micros.Second
 	showWithin    = 1 * micros.Second
+	evenPart      = 1.2 // of the even share of the store's limits that each may use
 )
 
 // Core is the actor that decides. All of its methods run on its own goroutine
@@ -102,6 +103,8 @@
 	catchAt    micros.T
 	watchSent  micros.T // when the watch in flight was sent
 	liveShare  int      // live controllers that the budgets are shared by
+	boost      float64  // how much more than its even part of them this one uses
+	refused    int      // calls that were throttled when that was last looked at
 	pages      map[string]*pageState
 	fresh      map[string]*bookkeeping.Page // new pages that the mirror hasn't yet
 	pageSeq    int
@@ -155,6 +158,7 @@
 	sort.Strings(c.all)
 	c.view = newView(c.touched)
 	c.queue.MaxInFlight = 8
+	c.boost = 1
 	c.shareBudgets(len(c.all))
 	lease := micros.FromSeconds(cfg.Facts.Workers.LeaseS)
 	c.leaseTTL = min(max(lease/2, 4*micros.Second), 8*micros.Second)
@@ -166,14 +170,27 @@
 
 // shareBudgets sets this controller's part of the state service's limits. Load is
 // uneven, so each may use somewhat more than its share; a 429 costs only a pause.
+// While calls wait and none is refused the part grows: others that have crashed, or
+// have little to do, leave theirs, and their memberships end only seconds later.
 func (c *Core) shareBudgets(live int) {
 	live = max(1, min(live, len(c.all)))
-	if live == c.liveShare {
+	most := max(1, float64(live)/evenPart)
+	before := c.boost
+	switch refused := c.stats.throttled - c.refused; {
+	case refused > 0:
+		c.boost = max(1, c.boost*0.6)
+	case c.queue.Waiting(bookkeeping.RankUser)+c.queue.Waiting(bookkeeping.RankPage) > 1:
+		c.boost = min(most, c.boost*1.3)
+	default:
+		c.boost = max(1, c.boost*0.9)
+	}
+	c.boost, c.refused = min(c.boost, most), c.stats.throttled
+	if live == c.liveShare && c.boost == before {
 		return
 	}
 	c.liveShare = live
 	st := c.cfg.Facts.State
-	share := min(1, 1.2/float64(live))
+	share := min(1, evenPart*c.boost/float64(live))
 	c.queue.Reads.Rate, c.queue.Reads.Burst = st.RPS*share, max(2, st.RPS*share/2)
 	c.queue.Writes.Rate, c.queue.Writes.Burst = st.WriteRPS*share, max(float64(st.TxnOps), st.WriteRPS*share/2)
 	// All watches together use at most a quarter of the store's requests.
@@ -188,7 +205,7 @@
 	if c.queue.Waiting(bookkeeping.RankUser) > 2 {
 		part = 0.35
 	}
-	return part * c.cfg.Facts.State.WriteRPS / float64(c.liveShare)
+	return part * c.boost * c.cfg.Facts.State.WriteRPS / float64(c.liveShare)
 }
 
 // Start begins the actor's work.
