--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -137,7 +137,7 @@
 }
 
 type stats struct {
-	accepted, placed, done, failed, conflicts, throttled int
+	accepted, later, placed, done, failed, conflicts, throttled int
 }
 
 // NewCore makes the actor's state.
@@ -203,7 +203,7 @@
 func (c *Core) pageRate() float64 {
 	part := 0.55
 	if c.queue.Waiting(bookkeeping.RankUser) > 2 {
-		part = 0.35
+		part = 0.2
 	}
 	return part * c.boost * c.cfg.Facts.State.WriteRPS / float64(c.liveShare)
 }
@@ -879,9 +879,9 @@
 			all += c.types[m.rec.Type].CPUs
 		}
 	}
-	s := fmt.Sprintf("jobs %d waiting %d running %d machines %d cpus %.0f/%.0f members %d pages %d accepted %d placed %d done %d conflicts %d throttled %d",
+	s := fmt.Sprintf("jobs %d waiting %d running %d machines %d cpus %.0f/%.0f members %d pages %d accepted %d later %d placed %d done %d conflicts %d throttled %d",
 		len(c.view.jobs), waiting, running, len(c.view.machines), used, all, len(c.view.members), pages,
-		c.stats.accepted, c.stats.placed, c.stats.done, c.stats.conflicts, c.stats.throttled)
+		c.stats.accepted, c.stats.later, c.stats.placed, c.stats.done, c.stats.conflicts, c.stats.throttled)
 	for i := range c.cfg.Facts.Teams {
 		if t := &c.cfg.Facts.Teams[i]; t.CPUsMax > 0 {
 			s += fmt.Sprintf(" %s %.0f/%.0f", t.Name, c.view.teamUse[t.Name].cpus, t.CPUsMax)
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -1,6 +1,8 @@
 package coordination
 
 import (
+	"context"
+	"log/slog"
 	"math"
 	"strings"
 
@@ -25,6 +27,10 @@
 
 // later is the immediate answer to what can't be taken now.
 func (c *Core) later(status int, text string) Reply {
+	c.stats.later++
+	if c.log.Enabled(context.Background(), slog.LevelDebug) {
+		c.log.Debug("asked to come back", "status", status, "reason", text, "users", c.queue.Waiting(bookkeeping.RankUser), "pages", c.queue.Waiting(bookkeeping.RankPage), "askers", len(c.askers))
+	}
 	r := errorReply(status, text)
 	r.RetryAfter = 1
 	if c.storeDown {
