--- a/internal/coordination/autoscaler.go
+++ b/internal/coordination/autoscaler.go
@@ -43,10 +43,7 @@
 		n := min(j.waiting(), j.need.count(left))
 		teamLeft[spec.Team] = left.plus(j.need, -float64(n))
 		if n > 0 {
-			left, missed := c.slack(j, c.env.Wall())
-			if missed == len(c.aims(spec)) {
-				left = math.Inf(1) // too late for any aim: not worth a dear machine
-			}
+			left, _ := c.slack(j, c.env.Wall())
 			ds = append(ds, &demand{spec: spec, need: j.need, count: n, job: j.id, index: i, zones: newZoneRule(c.view, j), slack: left, lasts: c.expected(spec)})
 		}
 	}
