--- a/cmd/pipitgap/main.go
+++ b/cmd/pipitgap/main.go
@@ -13,7 +13,7 @@
 )
 
 // version is the product's version.
-const version = "0.1.0"
+const version = "0.2.0"
 
 type cli struct {
 	Serve   serveCmd   `cmd:"" default:"withargs" help:"Serve as a controller (the default command)."`
