--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -203,7 +203,7 @@
 func (c *Core) pageRate() float64 {
 	part := 0.55
 	if c.queue.Waiting(bookkeeping.RankUser) > 2 {
-		part = 0.2
+		part = 0.1
 	}
 	return part * c.boost * c.cfg.Facts.State.WriteRPS / float64(c.liveShare)
 }
