--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -31,9 +31,7 @@
 type Hint struct {
 	Node        string
 	Incarnation uint64
-	StoreOK     bool     // the sender reached the store lately
-	Nudge       bool     // look at the store now
-	Claimed     []string // machines that the sender has just claimed
+	StoreOK     bool // the sender reached the store lately
 }
 
 // Reply is the answer to a user or a worker.
@@ -91,7 +89,6 @@
 	storeDown  bool
 	peerOK     map[string]micros.T // when a peer last said that it reaches the store
 	peerSeen   map[string]micros.T
-	hintAt     micros.T
 	deadSince  map[string]micros.T
 
 	types     map[string]protocol.MachineType
@@ -130,7 +127,8 @@
 	emptyAt    map[string]micros.T // own machines, since when they are empty
 	closedAt   map[string]micros.T
 	tendAt     micros.T
-	quietSaid  int
+	quietSaid  bool                // many silent machines have been logged
+	givenBack  map[string][]string // machines to be removed, by reason, not yet logged
 	slowAt     micros.T
 	cloudGate  bookkeeping.Bucket
 	stats      stats
@@ -149,7 +147,7 @@
 		pages: map[string]*pageState{}, fresh: map[string]*bookkeeping.Page{}, arrivals: map[string]*arrival{}, claimSeen: map[string]claimSeen{},
 		claiming: map[string]bool{}, jobBusy: map[string]bool{}, accepted: map[string]uint64{}, teamShort: map[string]shortage{},
 		jobState: map[string]*jobState{}, bias: map[string]float64{}, sightings: map[string]*sighting{},
-		preempting: map[string]*preemption{}, emptyAt: map[string]micros.T{}, closedAt: map[string]micros.T{},
+		preempting: map[string]*preemption{}, givenBack: map[string][]string{}, emptyAt: map[string]micros.T{}, closedAt: map[string]micros.T{},
 	}
 	c.all = append(c.all, cfg.Node)
 	for _, p := range cfg.Known {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -810,17 +810,15 @@
 	if noticed > 0 {
 		c.log.Info("machines will be taken back", "machines", noticed)
 	}
-	if many := quiet >= 3; many != (c.quietSaid > 0) {
+	if many := quiet >= 3; many != c.quietSaid {
+		c.quietSaid = many
 		if many {
 			c.log.Info("machines have fallen silent", "machines", quiet+1, "of", ours)
 		} else {
 			c.log.Info("machines are heard again or replaced", "of", ours)
 		}
-		c.quietSaid = 0
-		if many {
-			c.quietSaid = quiet
-		}
 	}
+	c.logRemovals()
 }
 
 // wanted is the state that a machine of ours should stand in.
@@ -850,9 +848,22 @@
 func (c *Core) remove(m *machine, reason string) {
 	m.w.removing = reason
 	c.dirty = true
-	if reason != removeIdle {
-		c.log.Info("machine to be removed", "machine", m.id, "reason", reason, "type", m.rec.Type, "zone", m.rec.Zone, "tasks", len(m.tasks))
+	c.givenBack[reason] = append(c.givenBack[reason], m.id)
+}
+
+// logRemovals writes one line a reason, however many machines share it.
+func (c *Core) logRemovals() {
+	for _, reason := range sortedKeys(c.givenBack) {
+		ids := c.givenBack[reason]
+		tasks := 0
+		for _, id := range ids {
+			if m := c.view.machines[id]; m != nil {
+				tasks += len(m.tasks)
+			}
+		}
+		c.log.Info("machines to be removed", "reason", reason, "machines", len(ids), "tasks", tasks, "first", ids[0])
 	}
+	clear(c.givenBack)
 }
 
 // holdsCancelled tells whether the store holds tasks of cancelled jobs there.
