Late jobs have a last chance; machines of a silent zone are kept; each turn looks once for like tasks

The order now knows every time by which users' aims have tasks begin (deadlines, finished, wait); within 40 s of the next, late jobs with least work go first, up to 0.3 of what their team can run. Now a zone of which three quarters are silent keeps machines without services, each for a lease after its return, and offers nothing. Rooms that no machine has are remembered for like tasks within a turn, and victims within a part.

--- a/internal/coordination/autoscaler.go
+++ b/internal/coordination/autoscaler.go
@@ -110,22 +110,28 @@
 // doubt stretches estimates: they are wrong, and images must be fetched.
 const doubt = 1.2
 
-// aims are the times that the users' aims give a job, the shortest first: multiples
-// of its deadline, or the times within which its class is to be finished; without
-// either, any.
-func (c *Core) aims(s *bookkeeping.Spec) []float64 {
+// begins are the times by which the users' aims would have a job's tasks begin, in
+// seconds from its submission, the shortest first: multiples of its deadline and the
+// times within which its class is to be finished, less its run; the times within
+// which its class is to have started. Without any of them it has no such time.
+func (c *Core) begins(s *bookkeeping.Spec) []float64 {
+	run := doubt * c.expected(s)
 	var out []float64
+	due := false
 	for _, o := range c.cfg.Facts.Objectives {
 		switch {
-		case o.Class != s.Class:
-		case o.Kind == "finished" && s.DeadlineS == 0:
+		case o.Class != s.Class || s.Service:
+		case o.Kind == "finished":
+			out = append(out, o.WithinS-run)
+		case o.Kind == "wait":
 			out = append(out, o.WithinS)
 		case o.Kind == "deadline" && s.DeadlineS > 0 && o.Times > 0:
-			out = append(out, o.Times*s.DeadlineS)
+			out = append(out, o.Times*s.DeadlineS-run)
+			due = true
 		}
 	}
-	if len(out) == 0 && s.DeadlineS > 0 {
-		out = append(out, s.DeadlineS)
+	if !due && s.DeadlineS > 0 {
+		out = append(out, s.DeadlineS-run)
 	}
 	if len(out) == 0 {
 		return []float64{math.Inf(1)}
@@ -137,33 +143,54 @@
 // slack tells how many seconds a job's waiting tasks may still wait and meet the
 // first of its aims that can still be met, and how many can't.
 func (c *Core) slack(j *job, wall int64) (seconds float64, missed int) {
-	s := &j.rec.Spec
-	spent := micros.T(wall-j.rec.At).Seconds() + doubt*c.expected(s)
-	aims := c.aims(s)
-	for missed < len(aims) && aims[missed] < spent {
+	age := micros.T(wall - j.rec.At).Seconds()
+	begins := c.begins(&j.rec.Spec)
+	for missed < len(begins) && begins[missed] < age {
 		missed++
 	}
-	return aims[min(missed, len(aims)-1)] - spent, missed
+	return begins[min(missed, len(begins)-1)] - age, missed
 }
 
 // offers lists what may be rented now.
 func (c *Core) offers() []*offerInfo {
 	unmet := c.unmet()
 	inZone := map[string]int{}
+	zones := map[string]*hearing{}
 	for _, m := range c.view.machines {
-		if m.rec != nil {
-			inZone[m.rec.Zone]++
+		if m.rec == nil {
+			continue
+		}
+		inZone[m.rec.Zone]++
+		if zones[m.rec.Zone] == nil {
+			zones[m.rec.Zone] = &hearing{}
 		}
+		zones[m.rec.Zone].count(m.rec.State == bookkeeping.MachineQuiet, m.rec.State != bookkeeping.MachineOpen)
 	}
 	for _, a := range c.view.asks {
 		if a.rec.Phase != bookkeeping.AskUnmet {
 			inZone[a.rec.Zone] += a.rec.Count
 		}
 	}
+	for zone := range c.leader.cut {
+		if !zones[zone].cut() {
+			delete(c.leader.cut, zone)
+			c.leader.recover++
+			c.log.Info("zone is heard again", "zone", zone)
+		}
+	}
+	for zone, z := range zones {
+		if z.cut() && !c.leader.cut[zone] {
+			c.leader.cut[zone] = true
+			c.log.Info("zone has fallen silent, nothing is rented there", "zone", zone, "machines", z.machines, "silent", z.silent)
+		}
+	}
 	var out []*offerInfo
 	for _, name := range sortedKeys(c.types) {
 		t := c.types[name]
 		for _, zone := range t.Zones {
+			if c.leader.cut[zone] {
+				continue // what is rented there would wait, paid for, until it is back
+			}
 			for _, spot := range []bool{true, false} {
 				o := offer{name, zone, spot}
 				price := t.Price
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -129,6 +129,7 @@
 	emptyAt    map[string]micros.T // own machines, since when they are empty
 	closedAt   map[string]micros.T
 	tendAt     micros.T
+	zoneCut    map[string]micros.T // when a zone had last fallen silent as a whole
 	quietSaid  bool                // many silent machines have been logged
 	givenBack  map[string][]string // machines to be removed, by reason, not yet logged
 	slowAt     micros.T
@@ -149,7 +150,7 @@
 		pages: map[string]*pageState{}, fresh: map[string]*bookkeeping.Page{}, arrivals: map[string]*arrival{}, claimSeen: map[string]claimSeen{},
 		claiming: map[string]bool{}, jobBusy: map[string]bool{}, accepted: map[string]uint64{}, teamShort: map[string]shortage{},
 		jobState: map[string]*jobState{}, bias: map[string]float64{}, sightings: map[string]*sighting{},
-		preempting: map[string]*preemption{}, givenBack: map[string][]string{}, emptyAt: map[string]micros.T{}, closedAt: map[string]micros.T{},
+		preempting: map[string]*preemption{}, givenBack: map[string][]string{}, zoneCut: map[string]micros.T{}, emptyAt: map[string]micros.T{}, closedAt: map[string]micros.T{},
 	}
 	c.all = append(c.all, cfg.Node)
 	for _, p := range cfg.Known {
@@ -283,6 +284,9 @@
 		}
 	case bookkeeping.KindJob:
 		if j := c.view.jobs[name]; j != nil && j.held > 0 {
+			if n := c.jobNotes(name); n.overAt == 0 {
+				n.overAt = c.now()
+			}
 			c.syncJob(j) // a cancellation reaches the workers at once
 		}
 	case bookkeeping.KindPage:
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -38,7 +38,8 @@
 	found    map[string]*protocol.Listed
 	busy     map[string]bool // keys with a commit of the leader in flight
 	unplaced map[string]*unplaced
-	recover  int // grows whenever an offer recovers from unmet
+	recover  int             // grows whenever an offer recovers from unmet
+	cut      map[string]bool // zones that have fallen silent
 	trouble  bool
 }
 
@@ -55,7 +56,7 @@
 	return leaderState{
 		term: term, asking: map[string]bool{}, askAt: map[string]micros.T{}, deleting: map[string]bool{},
 		deleteAt: map[string]micros.T{}, unready: map[string]string{}, found: map[string]*protocol.Listed{},
-		busy: map[string]bool{}, unplaced: map[string]*unplaced{},
+		busy: map[string]bool{}, unplaced: map[string]*unplaced{}, cut: map[string]bool{},
 	}
 }
 
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"sort"
+	"strings"
 
 	"pipitgap/internal/bookkeeping"
 	"pipitgap/internal/micros"
@@ -18,6 +19,9 @@
 	mostOnMachine = 300 // tasks on a machine: what a report of 64 KiB can name
 	fairAfter     = 100 * micros.Second
 	fairAgain     = 45 * micros.Second // the same once it has begun
+	lateAims      = 2                  // past so many aims a job waits behind all that are in time
+	rescuePart    = 0.3                // of what a team can run meanwhile may go to such jobs
+	lastChance    = 40.0               // seconds before its next aim in which it goes before them again
 	fairPart      = 4                  // a job that got nothing for so long gets one of so many parts of it
 )
 
@@ -76,6 +80,7 @@
 	slack  float64 // seconds that it may still wait
 	work   float64 // CPU seconds that wait
 	missed int     // aims that it can't meet any more
+	urgent bool    // past its first aims, and soon past the next
 	owed   bool    // its team is within its guarantee
 	hungry bool    // got nothing for long, see starved
 }
@@ -86,6 +91,8 @@
 // first; last, the oldest first, what can meet none. Past what can be done, going
 // by the deadline would have every job end just after its own: a few large ones
 // wait instead, not without limit, and the many others are in time.
+// Those few must not wait for ever either: shortly before the next of its aims
+// passes, a job that is past its first ones goes before all that are in time.
 // Before all other arrays, whatever their priority, comes one that has been
 // waiting in vain for long, with a part of its tasks.
 func (a standing) before(b standing) bool {
@@ -102,7 +109,10 @@
 	if a.owed != b.owed {
 		return a.owed
 	}
-	if a.missed != b.missed {
+	if a.urgent != b.urgent {
+		return a.urgent
+	}
+	if a.missed != b.missed && !a.urgent {
 		return a.missed < b.missed
 	}
 	if a.slack >= 0 && b.slack >= 0 && a.work != b.work {
@@ -122,9 +132,11 @@
 		if j.open() && j.waiting() > 0 {
 			slack, missed := c.slack(j, wall)
 			work := float64(j.waiting()) * j.need.cpus * c.expected(&j.rec.Spec)
-			all = append(all, standing{j, slack, work, missed, c.owed(j), c.starved(j, now)})
+			urgent := missed >= lateAims && slack >= 0 && slack < lastChance
+			all = append(all, standing{j, slack, work, missed, urgent, c.owed(j), c.starved(j, now)})
 		}
 	}
+	c.rescue(all)
 	sort.Slice(all, func(a, b int) bool { return all[a].before(all[b]) })
 	out := make([]*job, len(all))
 	for i := range all {
@@ -133,6 +145,44 @@
 	return out
 }
 
+// rescue leaves urgent, of each team's jobs that are, those with the least work, up to
+// a part of what the team can run meanwhile. After a burst most that waits is late;
+// were all of it to go first, all that comes after would be late too.
+func (c *Core) rescue(all []standing) {
+	var late []*standing
+	for i := range all {
+		if all[i].urgent {
+			late = append(late, &all[i])
+		}
+	}
+	if len(late) == 0 {
+		return
+	}
+	there := 0.0
+	for _, m := range c.view.machines {
+		if m.rec != nil && m.rec.State == bookkeeping.MachineOpen {
+			there += c.types[m.rec.Type].CPUs
+		}
+	}
+	sort.Slice(late, func(a, b int) bool {
+		if late[a].work != late[b].work {
+			return late[a].work < late[b].work
+		}
+		return late[a].job.id < late[b].job.id
+	})
+	spent := map[string]float64{}
+	for _, s := range late {
+		name := s.job.rec.Spec.Team
+		can := there
+		if team, _ := c.team(name); team.CPUsMax > 0 {
+			can = min(can, team.CPUsMax)
+		}
+		if spent[name] += s.work; spent[name] > rescuePart*lastChance*can {
+			s.urgent = false
+		}
+	}
+}
+
 // starved tells whether an array has got nothing for a long time: under lasting
 // load those that are late already, large or of low priority would never have
 // their turn, and a class, a team or the largest jobs would go unserved.
@@ -194,6 +244,7 @@
 	floating := c.floatingTasks()
 	wall := c.env.Wall()
 	left := map[string]amount{} // of our share of limited teams
+	full := map[like]bool{}     // what no machine has room for in this turn: room only shrinks in it
 	var parts *partRooms
 	partKey := bookkeeping.Key(bookkeeping.KindPart, c.node)
 	for _, j := range jobs {
@@ -214,7 +265,7 @@
 		fenced := spec.OneZone || spec.Spread
 		zones := newZoneRule(c.view, j)
 		pending := 0
-		roomless, short := false, false
+		roomless, short := full[likeOf(spec)] && j.need.fits(room), false
 		var only *draft // a fenced job's tasks go out by one commit at a time
 		var cd *candidate
 	shares:
@@ -244,6 +295,9 @@
 				}
 				if cd == nil {
 					short, roomless = again, !again
+					if roomless && !fenced && len(notes.failedOn) == 0 {
+						full[likeOf(spec)] = true
+					}
 					continue
 				}
 				if spec.Service && !cd.m.images[spec.Image] && !c.waited(j, wall) && c.preempt(j, 1, zones, cands, true, now) {
@@ -323,6 +377,23 @@
 	c.take(jobs, cands, left, now)
 }
 
+// like is what decides on which machines a task may run and whether it fits. Of
+// thousands of waiting tasks most are like another: each turn looks at all machines
+// once for all of these.
+type like struct {
+	need        amount
+	spot        bool
+	zone, types string
+}
+
+func likeOf(s *bookkeeping.Spec) like {
+	types := ""
+	if s.Types != nil {
+		types = "=" + strings.Join(s.Types, " ")
+	}
+	return like{need: amount{s.CPUs, s.GPUs, s.MemoryGB}, spot: s.Spot, zone: s.Zone, types: types}
+}
+
 // pageLimit is how large a page may get by assignments.
 func (c *Core) pageLimit() int { return int(mostOfPage * float64(c.valueBytes())) }
 
@@ -532,10 +603,19 @@
 type partRooms struct {
 	core  *Core
 	parts map[string][]*candidate
+	made  map[claimant]string // what mostVictims has found
+}
+
+// claimant is what decides whose work may be stopped for a job.
+type claimant struct {
+	like
+	team     string
+	service  bool
+	priority int
 }
 
 func (c *Core) partRooms() *partRooms {
-	p := &partRooms{core: c, parts: map[string][]*candidate{}}
+	p := &partRooms{core: c, parts: map[string][]*candidate{}, made: map[claimant]string{}}
 	for _, m := range c.view.machines {
 		if m.rec == nil || m.rec.State != bookkeeping.MachineOpen || !c.isLive(m.owner()) {
 			continue
@@ -628,7 +708,13 @@
 // mostVictims names the other part that could make room for a job on most
 // machines by stopping what may be stopped for it, or "".
 func (p *partRooms) mostVictims(j *job, not string) string {
+	spec := &j.rec.Spec
+	who := claimant{likeOf(spec), spec.Team, spec.Service, spec.Priority}
+	if part, ok := p.made[who]; ok {
+		return part
+	}
 	most, part := 0, ""
+	defer func() { p.made[who] = part }()
 	for _, n := range p.core.live() {
 		if n == not {
 			continue
--- a/internal/coordination/plan_test.go
+++ b/internal/coordination/plan_test.go
@@ -1,10 +1,13 @@
 package coordination
 
 import (
+	"fmt"
 	"reflect"
 	"testing"
 
 	"pipitgap/internal/bookkeeping"
+	"pipitgap/internal/config"
+	"pipitgap/internal/protocol"
 )
 
 func demandOf(cpus float64, count int, spot, service bool) *demand {
@@ -104,6 +107,8 @@
 		{"hungry before the like of higher priority", standing{job: mk("b", 0, 9), hungry: true}, standing{job: mk("a", 1, 1)}},
 		{"just late before long late", standing{job: mk("b", 1, 9), slack: -5}, standing{job: mk("a", 1, 1), slack: -50, missed: 2}},
 		{"oldest of the long late", standing{job: mk("b", 1, 1), slack: -5, missed: 2}, standing{job: mk("a", 1, 2), slack: -50, missed: 2}},
+		{"urgent before in time", standing{job: mk("b", 1, 9), urgent: true, missed: 2, work: 9}, standing{job: mk("a", 1, 1), work: 1}},
+		{"priority before urgent", standing{job: mk("b", 2, 9)}, standing{job: mk("a", 1, 1), urgent: true, missed: 2}},
 		{"id at last", standing{job: mk("a", 1, 1)}, standing{job: mk("b", 1, 1)}},
 	}
 	for _, tc := range cases {
@@ -113,6 +118,43 @@
 	}
 }
 
+// TestRescue: of each team's late jobs those with least work are urgent before their
+// next aim, up to a part of what the team can run.
+func TestRescue(t *testing.T) {
+	c := newCluster(t, 3)
+	c.teams = []config.Team{{Name: "free"}, {Name: "tight", CPUsMax: 12}}
+	c.facts = func(cfg *config.Config) {
+		cfg.Facts.Objectives = []config.Objective{{Kind: "deadline", Class: "x", Times: 1}, {Kind: "deadline", Class: "x", Times: 1.5},
+			{Kind: "wait", Class: "x", WithinS: 150}, {Kind: "finished", Class: "x", WithinS: 250}}
+	}
+	c.start("n-0")
+	core := c.nodes["n-0"].core
+	c.sim.Run(500 * sec)
+	core.types = map[string]protocol.MachineType{"m16": {Name: "m16", CPUs: 16}}
+	core.view.machines["i-1"] = &machine{id: "i-1", rec: &bookkeeping.PageMachine{Type: "m16", State: bookkeeping.MachineOpen}}
+	add := func(team string, age, cpus float64, tasks int) string {
+		id := fmt.Sprintf("j-%06d", len(core.view.jobs))
+		core.view.jobs[id] = &job{id: id, state: make([]uint8, tasks), need: amount{cpus: cpus}, rec: bookkeeping.OpenJob{
+			At: core.env.Wall() - int64(age*float64(sec)), Spec: bookkeeping.Spec{Class: "x", Team: team, Tasks: tasks, CPUs: cpus, EstimateS: 10, DeadlineS: 30}}}
+		core.jobNotes(id).movedAt = core.now() // not hungry
+		return id
+	}
+	fresh := add("free", 5, 2, 1)
+	small, large := add("free", 120, 2, 4), add("free", 120, 2, 40) // 80 and 800 CPU seconds of 16*40*rescuePart
+	tight := add("tight", 130, 2, 8)                                // more than a part of 12 CPUs allows
+	passed, waiting := add("free", 249, 1, 1), add("free", 80, 1, 1)
+	finish := add("free", 215, 1, 2) // its start is missed, not its end
+	place := map[string]int{}
+	for i, j := range core.openJobs() {
+		place[j.id] = i
+	}
+	for _, tc := range []struct{ first, then string }{{small, fresh}, {finish, fresh}, {fresh, large}, {fresh, tight}, {fresh, passed}, {fresh, waiting}} {
+		if place[tc.first] > place[tc.then] {
+			t.Errorf("%s stands behind %s: %v", tc.first, tc.then, place)
+		}
+	}
+}
+
 // TestHome: machines spread over the live controllers, and only those of one that
 // has gone move.
 func TestHome(t *testing.T) {
--- a/internal/coordination/troubles_test.go
+++ b/internal/coordination/troubles_test.go
@@ -343,3 +343,78 @@
 		})
 	}
 }
+
+// TestZoneCut: a zone that falls silent keeps its machines for as long as it may come
+// back with them, but for those whose services must be proven gone; nothing is rented
+// there meanwhile, and afterwards it serves again at once. Single machines that fall
+// silent are replaced as ever.
+func TestZoneCut(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		silent func(m *standin.Rented, i int) bool
+		kept   bool
+	}{
+		{"a zone", func(m *standin.Rented, _ int) bool { return m.Zone == "a" }, true},
+		{"two machines", func(_ *standin.Rented, i int) bool { return i < 2 }, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newCluster(t, 77)
+			for k := range c.cloud.Capacity {
+				c.cloud.Capacity[k] = 12
+			}
+			c.names = c.names[:2] // each with more than a few machines in the zone
+			c.fleet.Nodes = c.names
+			c.steady()
+			there := map[string]bool{}
+			for i := 0; i < 8; i++ {
+				id := c.send(600*sec, jobOf{"pips": 8, "cores": 4.0, "memory_gb": 8.0, "grove": []string{"a", "b"}[i%2]})
+				there[id] = i%2 == 0
+			}
+			c.sim.Run(40 * sec)
+			var cut []*standin.Worker
+			for i, id := range sortedKeys(c.fleet.Workers) {
+				if w := c.fleet.Workers[id]; tc.silent(w.Machine, i) {
+					cut = append(cut, w)
+					w.Silent = true
+					for _, n := range c.names {
+						c.cut[id+"-"+n] = true
+					}
+				}
+			}
+			before := map[string]bool{}
+			for id := range c.cloud.Machines {
+				before[id] = true
+			}
+			c.sim.Run(16 * sec)
+			for i := 0; i < 4; i++ {
+				c.send(5*sec, jobOf{"pips": 20, "cores": 4.0, "memory_gb": 8.0})
+			}
+			c.sim.Run(14 * sec)
+			gone, inA := 0, 0
+			for _, w := range cut {
+				if w.Machine.Gone {
+					gone++
+				}
+			}
+			for id, m := range c.cloud.Machines {
+				if !before[id] && m.Zone == "a" {
+					inA++
+				}
+			}
+			if len(cut) < 2 || tc.kept && (gone > 0 || inA > 0) || !tc.kept && gone < len(cut) {
+				t.Errorf("of %d silent machines %d were deleted; %d rented in the zone", len(cut), gone, inA)
+			}
+			for _, w := range cut {
+				w.Silent = false
+			}
+			clear(c.cut)
+			c.sim.Run(15 * sec)
+			for id, a := range there {
+				if n := c.fleet.Running(id); a && tc.kept && n != 8 {
+					t.Errorf("%d tasks of %s run after the return", n, id)
+				}
+			}
+			c.rules()
+		})
+	}
+}
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -705,6 +705,7 @@
 	due      int      // tasks that it is to have begun before it is starved no more
 	movedAt  micros.T // when that was
 	handedAt micros.T // when its tasks were last handed to another part
+	overAt   micros.T // when its answer was seen; 0: before we looked
 }
 
 func (c *Core) jobNotes(id string) *jobState {
@@ -753,15 +754,29 @@
 	// Not so one that we have claimed but not heard yet: it may still be looking for
 	// us. It has until its lease must have ended.
 	ours, quiet := 0, 0
+	zones := map[string]*hearing{}
 	for _, m := range c.view.machines {
-		if m.w != nil {
-			ours++
-			if now-m.w.aliveAt > 2*report {
-				quiet++
-			}
+		if m.w == nil || m.rec == nil {
+			continue
+		}
+		ours++
+		away := now-m.w.aliveAt > 2*report
+		if away {
+			quiet++
 		}
+		z := zones[m.rec.Zone]
+		if z == nil {
+			z = &hearing{}
+			zones[m.rec.Zone] = z
+		}
+		z.count(away, m.w.session == 0)
 	}
 	quiet = max(quiet, 1) - 1 // one alone may always be the one
+	for zone, z := range zones {
+		if z.cut() {
+			c.zoneCut[zone] = now
+		}
+	}
 	lost, noticed, tasks := 0, 0, 0
 	for _, id := range sortedKeys(c.view.machines) {
 		m := c.view.machines[id]
@@ -783,16 +798,25 @@
 			w.quiet = q
 			c.dirty = true
 		}
+		// A zone that is cut off comes back with its machines, each within a lease: to
+		// delete them for their silence would have its room wait for boots then. Not
+		// so where services are: a deletion lets them start elsewhere.
+		at, cut := c.zoneCut[m.rec.Zone]
+		cut = cut && now-at < lease && !c.holdsService(m)
+		giveUp, overdue := proof+2*report, micros.T(0)
+		if cut {
+			giveUp, overdue = 3*proof, micros.FromSeconds(0.75*c.cfg.Facts.Workers.CancelS)
+		}
 		switch {
 		case m.rec.State == bookkeeping.MachineRemoving || w.removing != "":
-		case silent > proof+2*report:
+		case silent > giveUp:
 			c.remove(m, "silent")
-		case silent > patience && c.holdsCancelled(m):
+		case silent > patience && c.holdsCancelled(m, overdue):
 			// Its cancelled tasks must be gone in time, whoever is to blame.
 			c.remove(m, "cancelled tasks out of reach")
 		case w.noticed && silent > 2*report+micros.Second:
 			c.remove(m, "taken")
-		case silent > patience && 3*quiet <= ours && w.acked:
+		case silent > patience && 3*quiet <= ours && w.acked && !cut:
 			// Deleting it proves its tasks gone long before its lease would. Not
 			// when many are silent: then it is we who are cut off.
 			c.remove(m, "silent")
@@ -866,10 +890,40 @@
 	clear(c.givenBack)
 }
 
-// holdsCancelled tells whether the store holds tasks of cancelled jobs there.
-func (c *Core) holdsCancelled(m *machine) bool {
+// hearing counts a zone's machines of ours, and which of them are silent.
+type hearing struct{ machines, silent int }
+
+// count adds a machine; one that was claimed just now and has had no time to be
+// heard says nothing about its zone.
+func (h *hearing) count(away, unheard bool) {
+	if unheard && !away {
+		return
+	}
+	h.machines++
+	if away {
+		h.silent++
+	}
+}
+
+// cut tells whether a zone as a whole has fallen silent.
+func (h *hearing) cut() bool { return h != nil && h.silent >= 3 && 4*h.silent >= 3*h.machines }
+
+// holdsCancelled tells whether the store holds tasks there of jobs that were
+// cancelled longer ago than since. What a controller hasn't seen being cancelled
+// itself was so for an unknown time: long enough.
+func (c *Core) holdsCancelled(m *machine, since micros.T) bool {
+	for ref := range m.tasks {
+		if j := c.view.jobs[ref.job]; j != nil && !j.open() && c.now()-c.jobNotes(ref.job).overAt >= since {
+			return true
+		}
+	}
+	return false
+}
+
+// holdsService tells whether the store holds replicas of services there.
+func (c *Core) holdsService(m *machine) bool {
 	for ref := range m.tasks {
-		if j := c.view.jobs[ref.job]; j != nil && !j.open() {
+		if j := c.view.jobs[ref.job]; j != nil && j.rec.Spec.Service {
 			return true
 		}
 	}
