Pages hold as many machines as they have room for when full; a job stands in few pages

Ruled out: shares of the teams' limits, conditions, the rate of pages. Now machines are planned in by what they need when full (20 a page), and a job's tasks go to the page that has some of it, whose ids, conditions and ranges they share.

--- a/internal/coordination/cluster_test.go
+++ b/internal/coordination/cluster_test.go
@@ -35,6 +35,9 @@
 	copies   func(w *standin.Worker, node string, body []byte) // sees every report on its way
 	facts    func(*config.Config)                              // changes what the platform hands over
 	accepted func(id string)                                   // a job that was sent is accepted
+	refuse   bool                                              // controllers that are down refuse connections, rather than say nothing
+	commands int                                               // direct commands, and questions to workers
+	largest  int                                               // bytes of an answer, at most
 }
 
 // simNode is one controller; its env drops whatever belongs to an earlier life.
@@ -75,6 +78,7 @@
 
 func (e *simEnv) Command(endpoint string, req *protocol.DoRequest, within micros.T, back func(protocol.DoResult)) {
 	c := e.n.c
+	c.commands++
 	answered := false
 	answer := func(r protocol.DoResult) {
 		if !answered {
@@ -151,6 +155,10 @@
 		if c.copies != nil {
 			c.copies(w, node, body)
 		}
+		if c.refuse && c.nodes[node].core == nil {
+			c.sim.After(2*micros.Millisecond, func() { back(0, nil) })
+			return
+		}
 		c.sim.After(2*micros.Millisecond, func() {
 			c.request(node, "POST", "/checkin", body, func(r Reply) {
 				if c.deaf[w.Machine.ID] {
@@ -216,6 +224,7 @@
 	}
 	life := n.life
 	n.core.OnRequest(method, target, body, func(r Reply) {
+		c.largest = max(c.largest, len(r.Body))
 		if n.life == life && n.core != nil {
 			back(r)
 		}
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -139,6 +139,7 @@
 
 type stats struct {
 	accepted, later, placed, done, failed, conflicts, throttled int
+	looked                                                      int // machines, by placement
 }
 
 // NewCore makes the actor's state.
--- /dev/null
+++ b/internal/coordination/fleet_test.go
@@ -0,0 +1,192 @@
+package coordination
+
+import (
+	"fmt"
+	"testing"
+
+	"pipitgap/internal/bookkeeping"
+	"pipitgap/internal/config"
+	"pipitgap/internal/micros"
+	"pipitgap/internal/protocol"
+	"pipitgap/internal/standin"
+)
+
+// newFleet is five controllers with room for some fifteen hundred machines, on a
+// state service and a cloud that are but twice those of three with forty.
+func newFleet(t testing.TB, seed uint64) *cluster {
+	c := newGrown(t, seed)
+	c.store.RPS, c.store.WPS = 400, 100
+	c.fleet.Report, c.fleet.Lease = 4*sec, 22*sec
+	c.cloud.Boot = 25 * sec
+	clear(c.cloud.Capacity)
+	for _, z := range []string{"a", "b"} {
+		c.cloud.Capacity[standin.Offer("m16", z, false)] = 375
+		c.cloud.Capacity[standin.Offer("m16", z, true)] = 395
+	}
+	c.teams = nil
+	for i, most := range []float64{7000, 5000, 10000, 5000, 6000, 7000} {
+		name := fmt.Sprint("team", i)
+		c.teams = append(c.teams, config.Team{Name: name, CPUs: most / 3, CPUsMax: most})
+		c.fleet.Limits[name] = most
+	}
+	c.facts = func(cfg *config.Config) {
+		f := &cfg.Facts
+		f.Workers.ReportS, f.Workers.LeaseS, f.Workers.CancelS = 4, 22, 42
+		f.State.RPS, f.State.WriteRPS = 400, 100
+		f.Cloud.RPS = 9
+		f.Quota.Cores, f.Quota.MemoryMB, f.Quota.MaxConnections = 0.55, 320, 2800
+		f.Objectives = []config.Objective{{Kind: "deadline", Class: "wide", Times: 1}, {Kind: "deadline", Class: "wide", Times: 1.5},
+			{Kind: "deadline", Class: "deep", Times: 1}, {Kind: "deadline", Class: "deep", Times: 1.5}}
+	}
+	return c
+}
+
+// opening submits what waits when a day of the far larger fleet begins, and as
+// much as comes in a second of it.
+func (c *cluster) opening(services, deep, wide int) {
+	for i := 0; i < services; i++ {
+		c.send(0, jobOf{"lane": "svc", "crew": fmt.Sprint("team", i%6), "shape": "daemon", "rank": "high", "cores": 1.0, "memory_gb": 6.3,
+			"plumage": fmt.Sprint("svc", i%16), "pull_gb": 1.8, "guess_s": 0.0})
+	}
+	array := func(class string, team, tasks int, cores, mem, guess, due float64) {
+		run := micros.T(guess * float64(sec) * (0.5 + c.sim.Rand.Float64()))
+		c.send(run, jobOf{"lane": class, "crew": fmt.Sprint("team", team), "pips": tasks, "cores": cores, "memory_gb": mem,
+			"plumage": fmt.Sprint(class, c.sim.Rand.IntN(12)), "pull_gb": 0.7, "guess_s": guess, "borrowed": true, "due_s": due})
+	}
+	for i := 0; i < deep; i++ {
+		array("deep", 1, 5+c.sim.Rand.IntN(60), 4, 23, 20, 50)
+	}
+	for i := 0; i < wide; i++ {
+		array("wide", c.sim.Rand.IntN(3), 20+c.sim.Rand.IntN(300), 2, 10, 12, 46)
+	}
+}
+
+// poll asks about a job like its user, from its acceptance to its end.
+func (c *cluster) poll(id string, answered map[int]int) {
+	over := false
+	c.sim.After(c.jitter(5*sec), func() {
+		node := c.names[c.sim.Rand.IntN(len(c.names))]
+		if c.nodes[node].core == nil {
+			node = c.names[0]
+		}
+		c.request(node, "GET", "/v2/runs/"+id, nil, func(r Reply) {
+			answered[r.Status]++
+			var st protocol.JobStatus
+			over = protocol.Unmarshal(r.Body, &st) == nil && st.Status == protocol.JobDone
+		})
+	})
+	c.sim.After(5*sec, func() {
+		if !over {
+			c.poll(id, answered)
+		}
+	})
+}
+
+// TestFleetOpening plays the opening of a day at one and a half times the far larger
+// fleet, and a crash of all controllers but one in the midst of it: what is served,
+// and what it costs in changes, requests, commands and machines looked at.
+func TestFleetOpening(t *testing.T) {
+	c := newFleet(t, 1)
+	got := map[string]int{}
+	c.copies = func(_ *standin.Worker, _ string, body []byte) {
+		got["largest report"] = max(got["largest report"], len(body))
+	}
+	answered := map[int]int{}
+	c.accepted = func(id string) { c.poll(id, answered) }
+	c.start(c.names...)
+	c.sim.Run(3 * sec)
+	c.opening(1100, 22, 65)
+	for s := 0; s < 55; s++ {
+		c.opening(8, 1, 1+s%2)
+		c.sim.Run(sec)
+	}
+	running := func() (services, of int) {
+		for id, j := range c.fleet.Jobs {
+			if j.Run == 0 {
+				of++
+				services += c.fleet.Running(id)
+			}
+		}
+		return services, of
+	}
+	for _, n := range c.names {
+		got["looked at"] += c.nodes[n].core.stats.looked
+		got["placed"] += c.nodes[n].core.stats.placed
+	}
+	for _, k := range c.store.Keys(bookkeeping.Root) {
+		got["largest value"] = max(got["largest value"], c.store.Size(k))
+	}
+	got["pages"] = len(c.store.Keys(bookkeeping.Key(bookkeeping.KindPage, "")))
+	got["machines"] = c.cloud.Count()
+	got["cloud calls"] = c.cloud.Calls[protocol.CloudRent] + c.cloud.Calls[protocol.CloudList] + c.cloud.Calls[protocol.CloudDelete]
+	got["finished"] = len(c.fleet.Finished)
+	got["refused"] = c.store.Throttled
+	used, room := 0.0, 0.0
+	for _, m := range c.nodes["n-0"].core.view.machines {
+		if m.rec != nil && m.rec.State == bookkeeping.MachineOpen {
+			used, room = used+m.used.cpus, room+16
+		}
+	}
+	got["used of 100"] = int(100 * used / room)
+
+	// One is left, with some three hundred of the machines, and has them all soon.
+	sessions := map[string]uint64{}
+	for id, w := range c.fleet.Workers {
+		sessions[id] = w.Session
+	}
+	changes, before := c.store.Changes, len(c.fleet.Finished)
+	c.refuse = true
+	c.kill(c.names[1:]...)
+	clear(answered)
+	c.sim.Run(25 * sec)
+	got["changes, alone"] = c.store.Changes - changes
+	core := c.nodes["n-0"].core
+	for _, p := range core.view.pages {
+		if !core.owns(p) {
+			got["pages of others"]++
+		}
+	}
+	for id, w := range c.fleet.Workers {
+		if !w.Machine.Gone && sessions[id] != 0 && w.Session > sessions[id] {
+			got["leases lost"]++
+		}
+	}
+	got["finished, alone"] = len(c.fleet.Finished) - before
+	got["polls answered, alone"] = answered[200]
+	got["services"], got["services of"] = running()
+	got["commands"], got["largest response"] = c.commands, c.largest
+	got["changes"] = c.store.Changes
+	for _, n := range c.store.Calls {
+		got["requests"] += n
+	}
+	t.Log(got)
+	c.rules()
+	for _, tc := range []struct {
+		what        string
+		least, most int
+	}{
+		{"machines", 1400, 1540},
+		{"used of 100", 80, 100},
+		{"finished", 3000, 1 << 30},
+		{"finished, alone", 3000, 1 << 30},
+		{"services", got["services of"] * 97 / 100, got["services of"]},
+		{"polls answered, alone", 5000, 1 << 30},
+		{"pages of others", 0, 0},
+		{"leases lost", 0, 30},
+		{"pages", 60, 110},
+		{"largest value", 0, 4096},
+		{"largest report", 0, 64 << 10},
+		{"largest response", 0, 64 << 10},
+		{"changes", 0, 83 * 100},
+		{"changes, alone", 0, 25 * 100},
+		{"requests", 0, 83 * 400},
+		{"refused", 0, 800},
+		{"commands", 0, 60000},
+		{"cloud calls", 5, 83 * 9},
+		{"looked at", 0, 100 * got["placed"]}, // 430 before like tasks shared a search
+	} {
+		if n := got[tc.what]; n < tc.least || n > tc.most {
+			t.Errorf("%s: %d, want %d to %d", tc.what, n, tc.least, tc.most)
+		}
+	}
+}
--- a/internal/coordination/pages.go
+++ b/internal/coordination/pages.go
@@ -16,11 +16,10 @@
 const (
 	turnWait    = 600 * micros.Millisecond // a commit in flight holds the next turn up for so long
 	arrivalWait = 2500 * micros.Millisecond
-	machineRoom = 40 // bytes that a machine itself takes in a page
-	cpuRoom     = 4  // and what is kept free for a task on each of its CPUs
+	machineRoom = 60 // bytes that a machine takes in a page, with its part of the jobs' ids
+	cpuRoom     = 7  // and what tasks on each of its CPUs take: 14 for one of 2 CPUs
 	staleAfter  = 5 * micros.Second
-	bulkOfPage  = 0.7 // a page takes new machines up to this part of a value
-	mostOfPage  = 0.95
+	mostOfPage  = 0.95 // of a value: up to this a page is filled
 )
 
 // pageState is what we note about one of our pages beside the mirror.
@@ -54,7 +53,8 @@
 	old     *page // nil: a new page
 	next    *bookkeeping.Page
 	changed bool
-	bound   int
+	bound   int          // bytes that it may come to take
+	planned int          // and those that its machines will need once they are full
 	txn     protocol.Txn // what else the commit asks and changes
 	conds   map[string]bool
 	freed   map[string]amount // by machine: released by this turn
@@ -67,6 +67,7 @@
 	gone    map[taskRef]bool // attempts released
 	arrived map[string]*arrival
 	told    map[string]bool // machines with something new to do
+	cands   []*candidate    // those of its machines that may get tasks
 }
 
 func (d *draft) version() uint64 {
@@ -185,7 +186,9 @@
 	var ds []*draft
 	for _, name := range sortedKeys(c.view.pages) {
 		if p := c.view.pages[name]; c.owns(p) && c.pageNotes(name).busyAt == 0 {
-			ds = append(ds, c.draft(p, now))
+			d := c.draft(p, now)
+			d.planned = c.planned(d.next)
+			ds = append(ds, d)
 		}
 	}
 	for _, name := range sortedKeys(c.fresh) {
@@ -280,6 +283,17 @@
 	return machineRoom + cpuRoom*int(c.types[typ].CPUs)
 }
 
+// planned is the room that a page's machines will need once they are full. Going by
+// what they take while they are empty put a third more of them into a page than it
+// had room for the tasks of: they stood half empty beside waiting tasks.
+func (c *Core) planned(p *bookkeeping.Page) int {
+	n := 0
+	for _, m := range p.Machines {
+		n += c.machineBytes(m.Type)
+	}
+	return n
+}
+
 // admit puts machines that have come up, or come over to us, into pages; it
 // opens a new page when no other has the room.
 func (c *Core) admit(ds []*draft, now micros.T) []*draft {
@@ -317,8 +331,9 @@
 			continue
 		}
 		need := c.machineBytes(a.rep.Type)
+		moving := 0
 		if known {
-			need += 40 * len(m.tasks)
+			moving = 40 * len(m.tasks)
 		}
 		var d *draft
 		if known {
@@ -329,12 +344,12 @@
 				if _, taking := takes(o); known && taking {
 					continue // from another page already
 				}
-				if d == nil || o.bound < d.bound {
+				if o.planned+need <= c.pageLimit() && o.bound+moving+machineRoom <= c.pageLimit() && (d == nil || o.planned < d.planned) {
 					d = o
 				}
 			}
 		}
-		if d == nil || d.bound+need > int(bulkOfPage*float64(c.valueBytes())) {
+		if d == nil || d.planned+need > c.pageLimit() || d.bound+moving+machineRoom > c.pageLimit() {
 			if known && moved[m.page.name] != nil {
 				continue // the rest the next time
 			}
@@ -351,7 +366,8 @@
 			continue
 		}
 		d.changed = true
-		d.bound += need
+		d.bound += machineRoom + moving
+		d.planned += need
 		d.arrived[id] = a
 		d.cond(bookkeeping.Key(bookkeeping.KindMember, c.node), member.version)
 		if known {
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -20,7 +20,7 @@
 	fairAfter     = 100 * micros.Second
 	fairAgain     = 45 * micros.Second // the same once it has begun
 	lateAims      = 2                  // past so many aims a job waits behind all that are in time
-	rescuePart    = 0.3                // of what a team can run meanwhile may go to such jobs
+	rescuePart    = 0.3                // of what a team can use may be held by late jobs
 	lastChance    = 40.0               // seconds before its next aim in which it goes before them again
 	fairPart      = 4                  // a job that got nothing for so long gets one of so many parts of it
 )
@@ -63,7 +63,8 @@
 			}
 			free := capacity(&t).plus(m.used, -1).plus(d.freed[id], 1).plus(d.taken[id], -1)
 			_, closed := c.closedAt[id]
-			out = append(out, &candidate{m: m, rec: rec, d: d, free: free, served: c.serviceCPUs(m), tasks: len(m.tasks), closed: closed})
+			cd := &candidate{m: m, rec: rec, d: d, free: free, served: c.serviceCPUs(m), tasks: len(m.tasks), closed: closed}
+			out, d.cands = append(out, cd), append(d.cands, cd)
 		}
 	}
 	return out
@@ -136,7 +137,7 @@
 			all = append(all, standing{j, slack, work, missed, urgent, c.owed(j), c.starved(j, now)})
 		}
 	}
-	c.rescue(all)
+	c.rescue(all, wall)
 	sort.Slice(all, func(a, b int) bool { return all[a].before(all[b]) })
 	out := make([]*job, len(all))
 	for i := range all {
@@ -145,10 +146,11 @@
 	return out
 }
 
-// rescue leaves urgent, of each team's jobs that are, those with the least work, up to
-// a part of what the team can run meanwhile. After a burst most that waits is late;
-// were all of it to go first, all that comes after would be late too.
-func (c *Core) rescue(all []standing) {
+// rescue leaves urgent, of each team's late jobs that are, those with the least work,
+// as far as late jobs hold no more than a part of what the team can use. After a burst
+// most that waits is late; were all of it to go first, all that comes after would be
+// late too. What they hold counts, not what waits: others become urgent as these go.
+func (c *Core) rescue(all []standing, wall int64) {
 	var late []*standing
 	for i := range all {
 		if all[i].urgent {
@@ -164,22 +166,31 @@
 			there += c.types[m.rec.Type].CPUs
 		}
 	}
+	hold := map[string]float64{}
+	for _, j := range c.view.jobs {
+		if j.held > 0 && !j.rec.Spec.Service {
+			if _, missed := c.slack(j, wall); missed >= lateAims {
+				hold[j.rec.Spec.Team] += float64(j.held) * j.need.cpus
+			}
+		}
+	}
 	sort.Slice(late, func(a, b int) bool {
 		if late[a].work != late[b].work {
 			return late[a].work < late[b].work
 		}
 		return late[a].job.id < late[b].job.id
 	})
-	spent := map[string]float64{}
 	for _, s := range late {
 		name := s.job.rec.Spec.Team
 		can := there
 		if team, _ := c.team(name); team.CPUsMax > 0 {
 			can = min(can, team.CPUsMax)
 		}
-		if spent[name] += s.work; spent[name] > rescuePart*lastChance*can {
+		if hold[name] > rescuePart*can {
 			s.urgent = false
+			continue
 		}
+		hold[name] += float64(s.job.waiting()) * s.job.need.cpus
 	}
 }
 
@@ -244,7 +255,7 @@
 	floating := c.floatingTasks()
 	wall := c.env.Wall()
 	left := map[string]amount{} // of our share of limited teams
-	full := map[like]bool{}     // what no machine has room for in this turn: room only shrinks in it
+	full := map[likeOf]bool{}   // what no machine has room for in this turn: room only shrinks in it
 	var parts *partRooms
 	partKey := bookkeeping.Key(bookkeeping.KindPart, c.node)
 	for _, j := range jobs {
@@ -265,9 +276,12 @@
 		fenced := spec.OneZone || spec.Spread
 		zones := newZoneRule(c.view, j)
 		pending := 0
-		roomless, short := full[likeOf(spec)] && j.need.fits(room), false
+		// Without a share of the team's limit only what a page gives back counts.
+		kind, short := like(spec, ""), like(spec, spec.Team)
+		roomless, lacking := full[kind] && j.need.fits(room), full[short] && !j.need.fits(room)
 		var only *draft // a fenced job's tasks go out by one commit at a time
 		var cd *candidate
+		var near *draft // the page that the job's last tasks went to
 	shares:
 		for _, s := range j.rec.Shares {
 			if s.Part != c.node {
@@ -284,19 +298,20 @@
 					continue
 				}
 				pending++
-				if roomless || short || most == 0 {
+				if roomless || lacking || most == 0 {
 					continue
 				}
 				// What a page's own attempts give back can be used by the same write.
 				again := !j.need.fits(room)
 				if cd == nil || again && !j.need.fits(cd.d.given[spec.Team]) || spec.Service || !j.need.fits(cd.free) || !zones.ok(cd.rec.Zone) || cd.tasks >= mostOnMachine ||
 					cd.d.bound+2*bookkeeping.TaskBound(i) > c.pageLimit() {
-					cd = c.choose(j, cands, zones, only, sample, again)
+					cd = c.choose(j, cands, zones, only, near, sample, again)
 				}
 				if cd == nil {
-					short, roomless = again, !again
-					if roomless && !fenced && len(notes.failedOn) == 0 {
-						full[likeOf(spec)] = true
+					lacking, roomless = again, !again
+					if !fenced && len(notes.failedOn) == 0 {
+						full[kind] = full[kind] || roomless
+						full[short] = full[short] || lacking
 					}
 					continue
 				}
@@ -306,6 +321,7 @@
 					continue
 				}
 				d := cd.d
+				near = d
 				if !d.jobs[j.id] {
 					d.jobs[j.id] = true
 					d.bound += len(j.id) + 4
@@ -345,7 +361,7 @@
 			}
 		}
 		left[spec.Team] = room
-		if short {
+		if lacking {
 			c.lacks(spec.Team, j.need, pending, room)
 		}
 		if !roomless || pending == 0 {
@@ -377,21 +393,21 @@
 	c.take(jobs, cands, left, now)
 }
 
-// like is what decides on which machines a task may run and whether it fits. Of
-// thousands of waiting tasks most are like another: each turn looks at all machines
-// once for all of these.
-type like struct {
-	need        amount
-	spot        bool
-	zone, types string
+// likeOf is what decides on which machines a task may run and whether it fits, and
+// within which team's limit if that is what is short. Of thousands of waiting tasks
+// most are like another: each turn looks at all machines once for all of these.
+type likeOf struct {
+	need              amount
+	spot              bool
+	zone, types, team string
 }
 
-func likeOf(s *bookkeeping.Spec) like {
+func like(s *bookkeeping.Spec, team string) likeOf {
 	types := ""
 	if s.Types != nil {
 		types = "=" + strings.Join(s.Types, " ")
 	}
-	return like{need: amount{s.CPUs, s.GPUs, s.MemoryGB}, spot: s.Spot, zone: s.Zone, types: types}
+	return likeOf{need: amount{s.CPUs, s.GPUs, s.MemoryGB}, spot: s.Spot, zone: s.Zone, types: types, team: team}
 }
 
 // pageLimit is how large a page may get by assignments.
@@ -452,13 +468,14 @@
 // one that has the image, the tightest fit. Under overload it looks at a sample,
 // and at all before it says that there is no room.
 // given: only pages that give back enough of the team's share.
-func (c *Core) choose(j *job, cands []*candidate, zones *zoneRule, only *draft, sample, given bool) *candidate {
+func (c *Core) choose(j *job, cands []*candidate, zones *zoneRule, only, near *draft, sample, given bool) *candidate {
 	var best *candidate
 	bestScore := math.Inf(1)
 	spec := &j.rec.Spec
 	notes := c.jobState[j.id]
 	limit, conds := c.pageLimit()-len(j.id)-32, 4*c.cfg.Facts.State.TxnOps-4
 	look := func(cd *candidate) {
+		c.stats.looked++
 		if !j.need.fits(cd.free) || !mayRun(spec, cd.rec) || !zones.ok(cd.rec.Zone) || cd.tasks >= mostOnMachine ||
 			only != nil && cd.d != only || given && !j.need.fits(cd.d.given[spec.Team]) || cd.d.bound > limit || len(cd.d.txn.If) >= conds && !cd.d.jobs[j.id] {
 			return
@@ -468,7 +485,7 @@
 		}
 		score := cd.free.cpus
 		if spec.Spot && !cd.rec.Spot && cd.served == 0 {
-			score += 1e6
+			score += 10 * worseKind
 		}
 		if spec.Spot && cd.rec.Spot {
 			// An ordinary machine with services stays in any case: filling it first
@@ -476,7 +493,7 @@
 			score += keptFirst
 		}
 		if cd.closed {
-			score += 1e5
+			score += worseKind
 		}
 		if !cd.m.images[spec.Image] {
 			score += imageWeight(spec)
@@ -494,6 +511,16 @@
 			best, bestScore = cd, score
 		}
 	}
+	if near != nil && !spec.Service {
+		// A job that stands in few pages takes little of each: every page that names
+		// it spends its id, two conditions, and numbers of tasks that are no ranges.
+		for _, cd := range near.cands {
+			look(cd)
+		}
+		if best != nil && bestScore < worseKind {
+			return best
+		}
+	}
 	if sample {
 		for i := 0; i < sampleSize; i++ {
 			look(cands[c.env.Rand().IntN(len(cands))])
@@ -539,6 +566,10 @@
 	return min(max(cpus/packedPart, fleetPart*c.served), fullPart*cpus)
 }
 
+// worseKind is what it costs a machine to be closing, or an ordinary one for a task
+// that may use spot machines: more than anything else that is weighed.
+const worseKind = 1e5
+
 // keptFirst is what a tight fit or an image at hand must be worth for a task to go
 // to a spot machine rather than beside services.
 const keptFirst = 50
@@ -608,8 +639,7 @@
 
 // claimant is what decides whose work may be stopped for a job.
 type claimant struct {
-	like
-	team     string
+	likeOf
 	service  bool
 	priority int
 }
@@ -709,7 +739,7 @@
 // machines by stopping what may be stopped for it, or "".
 func (p *partRooms) mostVictims(j *job, not string) string {
 	spec := &j.rec.Spec
-	who := claimant{likeOf(spec), spec.Team, spec.Service, spec.Priority}
+	who := claimant{like(spec, spec.Team), spec.Service, spec.Priority}
 	if part, ok := p.made[who]; ok {
 		return part
 	}
