A service is handed on at the first turn that may, not when two pauses happen to meet

A hand-over that the spacing of changes refused still began its own pause of a second, and taking tasks over, which comes after it in a turn, used the change each time. TestHandOverHasItsTurn.

--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -379,13 +379,14 @@
 			}
 			want = min(pending, owedAtOnce)
 		}
-		if !c.preempt(j, want, zones, cands, false, now) && now-notes.handedAt > handPause {
+		// Each hand-over costs a change, and so does taking tasks over, which comes
+		// after: a service that only tried its turn in between never had it.
+		if !c.preempt(j, want, zones, cands, false, now) && now-notes.handedAt > handPause && now >= c.takeAt {
 			if parts == nil {
 				parts = c.partRooms()
 			}
-			if to := parts.mostVictims(j, c.node); to != "" {
+			if to := parts.mostVictims(j, c.node); to != "" && c.handOver(j, to) {
 				notes.handedAt = now
-				c.handOver(j, to)
 			}
 		}
 	}
--- a/internal/coordination/shares.go
+++ b/internal/coordination/shares.go
@@ -254,15 +254,18 @@
 }
 
 // handOver gives our waiting tasks of a job to a part that can make room.
-func (c *Core) handOver(j *job, to string) {
+func (c *Core) handOver(j *job, to string) bool {
 	for _, s := range j.rec.Shares {
-		if s.Part == c.node && c.now() >= c.takeAt {
-			if c.reshare(j, bookkeeping.Reshare(j.rec.Shares, s.First, s.End, to)) {
-				c.takeAt = c.spaced(0.1)
-			}
-			return
+		if s.Part != c.node {
+			continue
+		}
+		if !c.reshare(j, bookkeeping.Reshare(j.rec.Shares, s.First, s.End, to)) {
+			return false
 		}
+		c.takeAt = c.spaced(0.1)
+		return true
 	}
+	return false
 }
 
 // ---- what a part may use of the teams' limits ----
--- a/internal/coordination/shares_test.go
+++ b/internal/coordination/shares_test.go
@@ -131,3 +131,39 @@
 	}
 	c.rules()
 }
+
+// TestHandOverHasItsTurn: a service that its part has no room for is handed on as
+// soon as that may be written again, however often the part takes tasks of others:
+// a try in between doesn't cost it its turn.
+func TestHandOverHasItsTurn(t *testing.T) {
+	c := newCluster(t, 5).steady()
+	core := c.nodes["n-0"].core
+	now := c.sim.Now()
+	id, array := "j-900000", "j-900001"
+	for name, spec := range map[string]bookkeeping.Spec{
+		id:    {Team: "free", Service: true, Priority: 2, Tasks: 1, CPUs: 4},
+		array: {Team: "free", Priority: 1, Tasks: 4, CPUs: 2, Spot: true},
+	} {
+		core.view.jobs[name] = &job{id: name, version: 1, state: make([]uint8, spec.Tasks), need: amount{cpus: spec.CPUs},
+			rec: bookkeeping.OpenJob{Spec: spec, Shares: []bookkeeping.Share{{First: 0, End: spec.Tasks, Part: "n-0"}}}}
+	}
+	core.accepted[id] = 1
+	other := &page{name: "n-1.1", rec: &bookkeeping.Page{Owner: "n-1"}, use: map[string]amount{}}
+	core.view.machines["i-9"] = &machine{id: "i-9", page: other, used: amount{cpus: 8}, tasks: map[taskRef]uint64{},
+		rec: &bookkeeping.PageMachine{Type: "m8", Zone: "a", State: bookkeeping.MachineOpen}}
+	for i := 0; i < 4; i++ {
+		core.view.machines["i-9"].tasks[taskRef{array, i}] = 1
+	}
+	core.takeAt = now + sec
+	core.place(nil, now)
+	if core.jobBusy[id] {
+		t.Error("handed on before a change may be spent on it")
+	}
+	core.place(nil, now+sec/2)
+	c.sim.Run(sec)
+	core.takeAt = c.sim.Now()
+	core.place(nil, c.sim.Now())
+	if !core.jobBusy[id] {
+		t.Error("not handed on at the first turn that may")
+	}
+}
