Takeovers wait for the owner's next word and go in one commit; users and pages take turns

Now a takeover from an owner that seems to live waits for its next word, one commit a turn takes machines from up to four pages and goes after those that depend on the shares, and users and pages that wait go in turns. Ruled out: reading of records after the start (0.5 to 1.4 s), the load balancer (nothing was accepted by the controller that had stayed).

--- a/internal/bookkeeping/queue.go
+++ b/internal/bookkeeping/queue.go
@@ -56,7 +56,9 @@
 )
 
 // pageWaits is how long users go before pages: a burst of submissions is over
-// sooner than that, a flood must not keep tasks from starting and ending.
+// sooner than that, a flood must not keep tasks from starting and ending. From then
+// on they go in turns: pages that always waited longer kept every user of the one
+// controller that was left waiting for five seconds.
 const pageWaits = 300 * micros.Millisecond
 
 // Call waits in the queue.
@@ -74,6 +76,7 @@
 	InFlight      int
 	MaxInFlight   int
 	pausedUntil   micros.T
+	userTurn      bool // of users and pages, a user's call went last
 	waiting       [ranks][]Call
 }
 
@@ -96,7 +99,8 @@
 // debt rather than wait: the service must not lose its membership to its load.
 func (q *Queue) Next(now micros.T) (c Call, ok bool, wait micros.T) {
 	for r := range q.waiting {
-		if Rank(r) == RankUser && len(q.waiting[RankPage]) > 0 && now-q.waiting[RankPage][0].Since > pageWaits {
+		if Rank(r) == RankUser && len(q.waiting[RankPage]) > 0 && now-q.waiting[RankPage][0].Since > pageWaits &&
+			(q.userTurn || len(q.waiting[RankUser]) == 0) {
 			r = int(RankPage)
 		}
 		if len(q.waiting[r]) == 0 {
@@ -116,6 +120,9 @@
 		q.Reads.Take(1)
 		q.Writes.Take(float64(c.Writes()))
 		q.InFlight++
+		if Rank(r) == RankUser || Rank(r) == RankPage {
+			q.userTurn = Rank(r) == RankUser
+		}
 		return c, true, 0
 	}
 	return Call{}, false, 0
--- a/internal/coordination/pages.go
+++ b/internal/coordination/pages.go
@@ -202,10 +202,14 @@
 	ds = c.admit(ds, now)
 	c.place(ds, now)
 	written := 0
-	for _, d := range ds {
-		if d.changed {
-			written++
-			c.write(d, now)
+	// Those that take machines over change our shares of the teams' limits, which the
+	// others' assignments ask for: they go last, or all others would fail.
+	for _, moving := range []bool{false, true} {
+		for _, d := range ds {
+			if d.changed && (len(d.txn.Then) > 0) == moving {
+				written++
+				c.write(d, now)
+			}
 		}
 	}
 	c.turnAt = now + max(2*fastTick, micros.FromSeconds(float64(written)/c.pageRate()))
@@ -311,7 +315,8 @@
 	if member.version == 0 || member.rec.Incarnation != c.inc || c.view.watched < member.version {
 		return ds
 	}
-	moved := map[string]*draft{} // page of another part: our page that takes from it
+	var mover *draft           // our page that takes machines from other parts
+	moved := map[string]bool{} // the pages that it takes from
 	for _, id := range sortedKeys(c.arrivals) {
 		a := c.arrivals[id]
 		m := c.view.machines[id]
@@ -335,22 +340,22 @@
 		if known {
 			moving = 40 * len(m.tasks)
 		}
-		var d *draft
-		if known {
-			d = moved[m.page.name]
+		// One commit a turn takes machines over, from a few pages: each changes our
+		// shares of the teams' limits, so of several but one could be made.
+		if known && !moved[m.page.name] && len(moved) >= mostSources(c.cfg.Facts.State.TxnOps) {
+			continue
 		}
-		if d == nil {
+		d := mover
+		if !known || d == nil {
+			d = nil
 			for _, o := range ds {
-				if _, taking := takes(o); known && taking {
-					continue // from another page already
-				}
 				if o.planned+need <= c.pageLimit() && o.bound+moving+machineRoom <= c.pageLimit() && (d == nil || o.planned < d.planned) {
 					d = o
 				}
 			}
 		}
 		if d == nil || d.planned+need > c.pageLimit() || d.bound+moving+machineRoom > c.pageLimit() {
-			if known && moved[m.page.name] != nil {
+			if known && mover != nil {
 				continue // the rest the next time
 			}
 			c.pageSeq++
@@ -371,7 +376,7 @@
 		d.arrived[id] = a
 		d.cond(bookkeeping.Key(bookkeeping.KindMember, c.node), member.version)
 		if known {
-			moved[m.page.name] = d
+			mover, moved[m.page.name] = d, true
 			c.moveOver(d, m, &a.rep)
 			continue
 		}
@@ -382,15 +387,9 @@
 	return ds
 }
 
-// takes names the page of another part that a draft takes machines from.
-func takes(d *draft) (string, bool) {
-	for _, op := range d.txn.Then {
-		if kind, name, _ := bookkeeping.SplitKey(op.Put); kind == bookkeeping.KindPage {
-			return name, true
-		}
-	}
-	return "", false
-}
+// mostSources is how many pages of other parts a commit may take machines from: beside
+// our page, each of theirs and its part's shares change, and ours.
+func mostSources(txnOps int) int { return max(1, min(4, (txnOps-2)/2)) }
 
 // moveOver takes a machine with all that is on it out of another part's page and
 // puts it into a draft, in one commit that both pages must agree to.
--- a/internal/coordination/troubles_test.go
+++ b/internal/coordination/troubles_test.go
@@ -418,3 +418,60 @@
 		})
 	}
 }
+
+// TestBackInAMoment: controllers that crash and are back in three seconds find their
+// machines where they were. The one that is left hears from all of their workers while
+// its peers' last words are still fresh; to take them over then cost a storm of
+// commits that all ask for the same shares. An owner that lives but can't be reached
+// by its workers loses them.
+func TestBackInAMoment(t *testing.T) {
+	for _, crash := range []bool{true, false} {
+		c := newCluster(t, 61).steady()
+		c.refuse = true
+		for i := 0; i < 6; i++ {
+			c.send(0, jobOf{"shape": "daemon", "pips": 4, "cores": 4.0, "crew": []string{"free", "tight"}[i%2]})
+		}
+		c.sim.Run(45 * sec)
+		owners := func() map[string]string {
+			out := map[string]string{}
+			for id, m := range c.nodes["n-0"].core.view.machines {
+				if m.rec != nil {
+					out[id] = m.owner()
+				}
+			}
+			return out
+		}
+		before := owners()
+		theirs := 0
+		for id, n := range before {
+			if n != "n-0" {
+				theirs++
+				if !crash {
+					c.cut[id+"-"+n] = true
+				}
+			}
+		}
+		conflicts := c.store.ByKind["!part"]
+		if crash {
+			c.kill("n-1", "n-2")
+		}
+		c.sim.Run(3 * sec)
+		if crash {
+			c.start("n-1", "n-2")
+		}
+		c.sim.Run(17 * sec)
+		changed := 0
+		for id, n := range owners() {
+			if before[id] != "" && before[id] != n {
+				changed++
+			}
+		}
+		if theirs < 3 || crash && changed > 0 || !crash && changed < theirs {
+			t.Errorf("crash %v: %d of %d machines have changed their owner", crash, changed, theirs)
+		}
+		if n := c.store.ByKind["!part"] - conflicts; n > 12 {
+			t.Errorf("crash %v: %d conflicts about shares", crash, n)
+		}
+		c.rules()
+	}
+}
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -237,11 +237,24 @@
 		answer(c.redirect(owner)) // it has just come back and claims its pages
 		return
 	case c.heard(owner, now):
-		// It lives. A worker that had it for long and lost it needn't be sent there
-		// again, its lease may not last for another round. One that goes round
-		// because its owner was gone for a moment must find it: that the owner has
-		// spoken to it since doesn't tell that it reports there.
-		adopt = now-first > lease/3 || rep.Token >= m.claim()<<32 && now-c.claimSeen[m.page.name].at > lease
+		// It lives, or did a moment ago. A worker that had it for long and lost it
+		// needn't be sent there again, its lease may not last for another round. One
+		// that goes round because its owner was gone for a moment must find it: that
+		// the owner has spoken to it since doesn't tell that it reports there.
+		if now-first > lease/3 || rep.Token >= m.claim()<<32 && now-c.claimSeen[m.page.name].at > lease {
+			// If it crashed just now, all its machines come, and it is back before they
+			// would all have changed their pages: so its next word is waited for.
+			claim := m.claim()
+			c.env.After(slowTick+2*fastTick, func() {
+				m := c.view.machines[rep.Machine]
+				if c.peerSeen[owner] <= now || m == nil || m.rec == nil || m.w != nil || m.claim() != claim || m.owner() != owner {
+					answer(c.redirect(""))
+					return
+				}
+				c.takeOver(m, rep, answer)
+			})
+			return
+		}
 	default:
 		// Crashed, perhaps back in a moment; or cut off, then its membership ends.
 		adopt = now-first > lease/3
@@ -254,7 +267,13 @@
 		}
 		return
 	}
-	from := m.page
+	c.takeOver(m, rep, answer)
+}
+
+// takeOver has a machine of another part claimed by us, if its worker itself confirms
+// its report.
+func (c *Core) takeOver(m *machine, rep *protocol.Report, answer func(Reply)) {
+	from, owner := m.page, m.owner()
 	c.verify(rep, true, func(ok bool) {
 		if !ok {
 			answer(c.redirect(owner))
