A job with an aim to meet goes before less urgent ones wherever it waits

Now a part meets such a job at its place in the order: takes it over where it has room, one a turn, keeps that room until it is there, or lets a gap grow. For any job, whether it has an aim or not, was tried: large jobs of no aim starved (TestNobodyStarves), not kept. TestUrgentElsewhere.

--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -194,6 +194,13 @@
 	}
 }
 
+// pressed tells whether a job has an aim that it can still meet if it doesn't wait
+// for long.
+func (c *Core) pressed(j *job, wall int64) bool {
+	slack, _ := c.slack(j, wall)
+	return slack >= 0 && !math.IsInf(slack, 1)
+}
+
 // starved tells whether an array has got nothing for a long time: under lasting
 // load those that are late already, large or of low priority would never have
 // their turn, and a class, a team or the largest jobs would go unserved.
@@ -257,11 +264,15 @@
 	left := map[string]amount{} // of our share of limited teams
 	full := map[likeOf]bool{}   // what no machine has room for in this turn: room only shrinks in it
 	var parts *partRooms
+	elsewhere := false // a job that waits elsewhere has room kept here
 	partKey := bookkeeping.Key(bookkeeping.KindPart, c.node)
 	for _, j := range jobs {
 		spec := &j.rec.Spec
 		notes := c.jobNotes(j.id)
 		if now < notes.until || c.jobBusy[j.id] || c.view.watched < j.version && c.accepted[j.id] != j.version {
+			if now < notes.takenUntil { // on its way to us: its room is still its own
+				reserve(j.need, spec, cands, notes.taken)
+			}
 			continue
 		}
 		limit, _ := c.team(spec.Team)
@@ -364,6 +375,28 @@
 		if lacking {
 			c.lacks(spec.Team, j.need, pending, room)
 		}
+		if pending == 0 && !spec.Service && !fenced && !elsewhere && !full[kind] && j.waiting() > 0 && c.pressed(j, wall) {
+			// What has an aim to meet and is more urgent than all of ours that follows
+			// goes before it, wherever it waits. Small jobs of large tasks sat out their
+			// deadlines in a part without a gap while others gave theirs to tasks that
+			// had time. One a turn: taking them over costs a change.
+			n := roomFor(j, cands)
+			if n == 0 {
+				full[kind] = true
+				c.holdFor(j, cands, zones, (j.waiting()+len(c.all)-1)/len(c.all))
+				continue
+			}
+			if now < c.takeAt {
+				continue // others use the room until a change may be spent
+			}
+			if parts == nil {
+				parts = c.partRooms()
+			}
+			n = c.takeJob(j, cands, left, parts, wall)
+			notes.taken, notes.takenUntil = n, now+micros.Second
+			elsewhere = n > 0
+			reserve(j.need, spec, cands, min(n, j.waiting()))
+		}
 		if !roomless || pending == 0 {
 			continue
 		}
--- a/internal/coordination/shares.go
+++ b/internal/coordination/shares.go
@@ -189,66 +189,90 @@
 	if free < slack || now < c.takeAt {
 		return
 	}
-	var rooms *partRooms
+	rooms := c.partRooms()
 	wall := c.env.Wall()
 	for _, j := range jobs {
-		spec := &j.rec.Spec
-		if len(j.rec.Shares) == 1 && j.rec.Shares[0].Part == c.node || j.need.cpus > free+slack ||
-			c.jobBusy[j.id] || now < c.jobNotes(j.id).until || c.view.watched < j.version {
+		if now < c.takeAt {
+			return
+		}
+		if j.need.cpus <= free+slack {
+			c.takeJob(j, cands, left, rooms, wall)
+		}
+	}
+}
+
+// roomFor counts the tasks of a job that the room not kept for others can take.
+func roomFor(j *job, cands []*candidate) int {
+	room := 0
+	for _, cd := range cands {
+		if !cd.held && mayRun(&j.rec.Spec, cd.rec) {
+			room += j.need.count(cd.free)
+		}
+	}
+	return room
+}
+
+// takeJob takes over as many of a job's tasks that wait at other parts as we have room
+// for, and tells how many.
+func (c *Core) takeJob(j *job, cands []*candidate, left map[string]amount, rooms *partRooms, wall int64) int {
+	spec := &j.rec.Spec
+	if len(j.rec.Shares) == 1 && j.rec.Shares[0].Part == c.node ||
+		c.jobBusy[j.id] || c.now() < c.jobNotes(j.id).until || c.view.watched < j.version {
+		return 0
+	}
+	room := roomFor(j, cands)
+	if room == 0 {
+		return 0
+	}
+	l, ok := left[spec.Team]
+	if !ok {
+		l = c.shareLeft(spec.Team)
+		left[spec.Team] = l
+	}
+	if n := j.need.count(l); n < room {
+		// A part with machines but without a share of the team's limit would leave
+		// the tasks for ever to one with a share but without machines.
+		c.lacks(spec.Team, j.need, min(room-n, j.waiting()), l)
+		room = n
+	}
+	if room == 0 {
+		return 0
+	}
+	whole := spec.OneZone || spec.Spread
+	for k := len(j.rec.Shares) - 1; k >= 0; k-- {
+		s := j.rec.Shares[k]
+		if s.Part == c.node || wall-j.rec.At < int64(ownerGrace) && c.isLive(s.Part) && rooms.room(spec, s.Part) > 0 {
 			continue
 		}
-		room := 0
-		for _, cd := range cands {
-			if !cd.held && mayRun(spec, cd.rec) {
-				room += j.need.count(cd.free)
+		n, first := 0, s.End
+		for first > s.First && (n < room || whole) {
+			first--
+			if j.state[first] == 0 {
+				n++
 			}
 		}
-		if room == 0 {
+		if n == 0 || whole && n > room && c.isLive(s.Part) {
 			continue
 		}
-		l, ok := left[spec.Team]
-		if !ok {
-			l = c.shareLeft(spec.Team)
-			left[spec.Team] = l
-		}
-		if n := j.need.count(l); n < room {
-			// A part with machines but without a share of the team's limit would leave
-			// the tasks for ever to one with a share but without machines.
-			c.lacks(spec.Team, j.need, min(room-n, j.waiting()), l)
-			room = n
+		if !c.reshare(j, bookkeeping.Reshare(j.rec.Shares, first, s.End, c.node)) {
+			return 0
 		}
-		if room == 0 {
-			continue
+		c.takeAt = c.spaced(0.1)
+		return n
+	}
+	return 0
+}
+
+// reserve keeps room for tasks that are about to be ours from what is less urgent.
+func reserve(need amount, spec *bookkeeping.Spec, cands []*candidate, n int) {
+	for _, cd := range cands {
+		if n <= 0 {
+			return
 		}
-		whole := spec.OneZone || spec.Spread
-		for k := len(j.rec.Shares) - 1; k >= 0; k-- {
-			s := j.rec.Shares[k]
-			if s.Part == c.node {
-				continue
-			}
-			if wall-j.rec.At < int64(ownerGrace) && c.isLive(s.Part) {
-				if rooms == nil {
-					rooms = c.partRooms()
-				}
-				if rooms.room(spec, s.Part) > 0 {
-					continue
-				}
-			}
-			n, first := 0, s.End
-			for first > s.First && (n < room || whole) {
-				first--
-				if j.state[first] == 0 {
-					n++
-				}
-			}
-			if n == 0 || whole && n > room && c.isLive(s.Part) {
-				continue
-			}
-			if c.reshare(j, bookkeeping.Reshare(j.rec.Shares, first, s.End, c.node)) {
-				c.takeAt = c.spaced(0.1)
-				return
-			}
-			break
+		if !cd.held && mayRun(spec, cd.rec) {
+			k := min(n, need.count(cd.free))
+			cd.free = cd.free.plus(need, -float64(k))
+			n -= k
 		}
 	}
 }
--- a/internal/coordination/shares_test.go
+++ b/internal/coordination/shares_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"pipitgap/internal/bookkeeping"
+	"pipitgap/internal/config"
 	"pipitgap/internal/protocol"
 	"pipitgap/internal/standin"
 )
@@ -167,3 +168,42 @@
 		t.Error("not handed on at the first turn that may")
 	}
 }
+
+// TestUrgentElsewhere: a small job of large tasks begins soon though nothing ends on
+// the machines of the part that it was given to, while the others' gaps would go to
+// tasks that have more time: the most urgent of all goes first, wherever it waits.
+func TestUrgentElsewhere(t *testing.T) {
+	c := newCluster(t, 300)
+	clear(c.cloud.Capacity)
+	c.cloud.Capacity[standin.Offer("m8", "a", false)] = 9
+	c.facts = func(cfg *config.Config) {
+		cfg.Facts.Objectives = []config.Objective{{Kind: "deadline", Class: "batch", Times: 1}}
+	}
+	c.steady()
+	give := func(id string, parts ...string) {
+		core := c.nodes["n-0"].core
+		var shares []bookkeeping.Share
+		n := core.view.jobs[id].rec.Spec.Tasks
+		for i, p := range parts {
+			shares = append(shares, bookkeeping.Share{First: n * i / len(parts), End: n * (i + 1) / len(parts), Part: p})
+		}
+		if !c.sim.RunUntil(5*sec, func() bool { return core.reshare(core.view.jobs[id], shares) }) {
+			t.Fatalf("%s can't be given to %v", id, parts)
+		}
+		c.sim.Run(sec / 10)
+	}
+	give(c.submit(400*sec, jobOf{"pips": 4, "due_s": 500.0, "guess_s": 400.0}), "n-2")
+	give(c.submit(6*sec, jobOf{"pips": 300, "due_s": 600.0}), "n-0", "n-1")
+	c.sim.Run(40 * sec)
+	id := c.submit(6*sec, jobOf{"pips": 3, "cores": 4.0, "due_s": 30.0})
+	give(id, "n-2")
+	at := c.sim.Now()
+	begun := func() bool {
+		return c.fleet.Starts[id+"/0"] > 0 && c.fleet.Starts[id+"/1"] > 0 && c.fleet.Starts[id+"/2"] > 0
+	}
+	if !c.sim.RunUntil(9*sec, begun) {
+		t.Error("not begun after 9 s") // 12 when only room left over went to others' tasks
+	}
+	t.Logf("begun after %.1f s", (c.sim.Now() - at).Seconds())
+	c.rules()
+}
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -716,15 +716,17 @@
 
 // jobState is what a controller notes about a job beside the store.
 type jobState struct {
-	fails    int
-	failedOn map[string]bool
-	until    micros.T // not to be placed before
-	step     micros.T
-	most     int      // tasks that it had begun when it last got on
-	due      int      // tasks that it is to have begun before it is starved no more
-	movedAt  micros.T // when that was
-	handedAt micros.T // when its tasks were last handed to another part
-	overAt   micros.T // when its answer was seen; 0: before we looked
+	fails      int
+	failedOn   map[string]bool
+	until      micros.T // not to be placed before
+	step       micros.T
+	most       int      // tasks that it had begun when it last got on
+	due        int      // tasks that it is to have begun before it is starved no more
+	movedAt    micros.T // when that was
+	handedAt   micros.T // when its tasks were last handed to another part
+	overAt     micros.T // when its answer was seen; 0: before we looked
+	taken      int      // tasks that we have just taken over from other parts
+	takenUntil micros.T
 }
 
 func (c *Core) jobNotes(id string) *jobState {
