--- /dev/null
+++ b/internal/coordination/membership.go
@@ -0,0 +1,162 @@
+package coordination
+
+import (
+	"pipitgap/internal/bookkeeping"
+	"pipitgap/internal/micros"
+	"pipitgap/internal/protocol"
+)
+
+// Hint is what controllers tell each other. Hints only make things faster or
+// tell a common outage from one's own; the store decides.
+type Hint struct {
+	Node        string
+	Incarnation uint64
+	StoreOK     bool // the sender reached the store lately
+	Users       int  // calls of users that wait there for the store
+}
+
+func (c *Core) grant() {
+	if c.granting {
+		return
+	}
+	c.granting = true
+	sent := c.now()
+	sc := &protocol.StoreCall{Op: protocol.StoreGrant, TTL: c.leaseTTL, Within: touchTimeout}
+	c.call(bookkeeping.RankLease, sc, func(r protocol.StoreResult) {
+		c.granting = false
+		if r.Outcome != protocol.OK {
+			c.granting = true
+			wait := 300*micros.Millisecond + micros.T(c.env.Rand().Int64N(int64(400*micros.Millisecond)))
+			c.env.After(wait, func() { c.granting = false; c.grant() })
+			return
+		}
+		c.lease, c.leaseSent, c.touchAt = r.Lease, sent, sent+c.leaseTTL/4
+		c.keepMember()
+	})
+}
+
+func (c *Core) keepLease(now micros.T) {
+	if c.lease == 0 || c.touching || now < c.touchAt {
+		return
+	}
+	c.touching = true
+	sent, lease := now, c.lease
+	sc := &protocol.StoreCall{Op: protocol.StoreTouch, Lease: lease, Within: touchTimeout}
+	c.call(bookkeeping.RankLease, sc, func(r protocol.StoreResult) {
+		c.touching = false
+		switch r.Outcome {
+		case protocol.OK:
+			c.leaseSent, c.touchAt = sent, sent+c.leaseTTL/4
+		case protocol.NotFound:
+			c.log.Info("own lease has ended, taking a new one")
+			c.lease = 0
+			c.grant()
+		default:
+			c.touchAt = c.now() + 300*micros.Millisecond
+		}
+	})
+}
+
+// leaseHeld tells whether our lease can't have ended yet, by the steady clock.
+func (c *Core) leaseHeld(now micros.T) bool {
+	return c.lease != 0 && now-c.leaseSent < c.leaseTTL-c.leaseTTL/100
+}
+
+// keepMember writes our member record if the store's isn't ours: an earlier
+// incarnation's late put may overwrite it, or its lease may have taken it along.
+func (c *Core) keepMember() {
+	if !c.ready || c.lease == 0 || c.memberBusy {
+		return
+	}
+	have := c.view.members[c.node]
+	if have.version != 0 && have.rec.Incarnation == c.inc {
+		return
+	}
+	c.memberBusy = true
+	key := bookkeeping.Key(bookkeeping.KindMember, c.node)
+	lease := c.lease
+	t := protocol.Txn{
+		If: []protocol.Cond{{Key: key, Version: have.version}},
+		Then: []protocol.Op{{Put: key, Lease: lease,
+			Value: protocol.MustMarshal(&bookkeeping.Member{Incarnation: c.inc, Zone: c.cfg.Area})}},
+	}
+	c.commit(bookkeeping.RankLease, t, func(r protocol.StoreResult) {
+		c.memberBusy = false
+		if r.Outcome == protocol.Rejected && c.lease == lease {
+			c.lease = 0
+			c.grant()
+		}
+	})
+}
+
+// live lists the controllers that the store holds as members, in order. Our own
+// membership counts only while our lease is surely held.
+func (c *Core) live() []string {
+	out := make([]string, 0, len(c.all))
+	for _, n := range c.all {
+		if _, ok := c.view.members[n]; ok {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+func (c *Core) isLive(node string) bool {
+	_, ok := c.view.members[node]
+	return ok
+}
+
+// leading tells whether we lead, by the mirror and our lease. Commits of the
+// leader are conditional on the lead record as well.
+func (c *Core) leading(now micros.T) bool {
+	return c.ready && c.view.leadVer != 0 && c.view.lead.Node == c.node && c.view.lead.Incarnation == c.inc && c.leaseHeld(now)
+}
+
+func (c *Core) leadCond() protocol.Cond {
+	return protocol.Cond{Key: bookkeeping.LeadKey, Version: c.view.leadVer}
+}
+
+// election takes the lead when nobody has it, or when our own earlier
+// incarnation still holds it.
+func (c *Core) election(now micros.T) {
+	if c.leadBusy || !c.leaseHeld(now) || c.storeDown {
+		return
+	}
+	v := c.view
+	mine := v.leadVer != 0 && v.lead.Node == c.node
+	if v.leadVer != 0 && !(mine && v.lead.Incarnation != c.inc) {
+		return
+	}
+	c.leadBusy = true
+	t := protocol.Txn{
+		If: []protocol.Cond{{Key: bookkeeping.LeadKey, Version: v.leadVer}},
+		Then: []protocol.Op{{Put: bookkeeping.LeadKey, Lease: c.lease,
+			Value: protocol.MustMarshal(&bookkeeping.Lead{Node: c.node, Incarnation: c.inc})}},
+	}
+	c.commit(bookkeeping.RankLease, t, func(r protocol.StoreResult) {
+		c.leadBusy = false
+		if r.Outcome == protocol.OK {
+			c.log.Info("leading", "term", r.Revision)
+		}
+	})
+}
+
+// gossip tells the peers that we live and whether we reach the store.
+func (c *Core) gossip(now micros.T) {
+	ok := !c.storeDown && now-c.storeOKAt < 1500*micros.Millisecond
+	for _, p := range c.cfg.Known {
+		c.env.Peer(p.Node, Hint{Node: c.node, Incarnation: c.inc, StoreOK: ok, Users: c.queue.Waiting(bookkeeping.RankUser)})
+	}
+}
+
+// OnHint takes a peer's word.
+func (c *Core) OnHint(h Hint) {
+	now := c.now()
+	c.peerSeen[h.Node] = now
+	if h.StoreOK {
+		c.peerOK[h.Node] = now
+	}
+	if h.Users > manyUsers {
+		c.peerUsers[h.Node] = now
+	}
+}
