--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -32,10 +32,16 @@
 	free   amount
 	served float64 // CPUs that services hold, this pass's too
 	tasks  int
-	closed bool // closing: reopened if nothing else has room
-	held   bool // kept for a more urgent job that hasn't room yet
+	closed bool   // closing: reopened if nothing else has room
+	held   bool   // kept for a more urgent job that hasn't room yet
+	keep   string // a job that tasks are being stopped for here
 }
 
+// keptFor tells whether a job may use what is free on a machine. Room that is being
+// made is the job's it is made for: others' tasks took what was free there before the
+// stopped ones were gone, and a service had tasks stopped three times over.
+func (cd *candidate) keptFor(j *job) bool { return cd.keep == "" || cd.keep == j.id }
+
 // usable tells whether new tasks may go to a machine of ours: it is open, its
 // worker has lately shown that our answers reach it, and nothing speaks against it.
 func (c *Core) usable(m *machine, now micros.T) bool {
@@ -92,6 +98,7 @@
 		}
 	}
 	cands := c.candidates(ds, now)
+	c.keepMade(cands, now)
 	sample := len(cands) > fullSearch && len(cands)*len(jobs) > fullWork
 	floating := c.floatingTasks()
 	wall := c.env.Wall()
@@ -123,7 +130,9 @@
 		pending := 0
 		// Without a share of the team's limit only what a page gives back counts.
 		kind, short := like(spec, ""), like(spec, spec.Team)
-		roomless, lacking := full[kind] && j.need.fits(room), full[short] && !j.need.fits(room)
+		made := c.preempting[j.id]
+		making := made != nil && now < made.until // machines are kept for it
+		roomless, lacking := full[kind] && j.need.fits(room) && !making, full[short] && !j.need.fits(room) && !making
 		var only *draft // a fenced job's tasks go out by one commit at a time
 		var cd *candidate
 		var near *draft // the page that the job's last tasks went to
@@ -154,7 +163,7 @@
 				}
 				if cd == nil {
 					lacking, roomless = again, !again
-					if !fenced && len(notes.failedOn) == 0 {
+					if !fenced && !making && len(notes.failedOn) == 0 {
 						full[kind] = full[kind] || roomless
 						full[short] = full[short] || lacking
 					}
@@ -278,6 +287,22 @@
 	return likeOf{need: amount{s.CPUs, s.GPUs, s.MemoryGB}, spot: s.Spot, zone: s.Zone, types: types, team: team}
 }
 
+// keepMade keeps the machines on which tasks are being stopped for a job, as long as
+// it still waits and the room may be about to be there.
+func (c *Core) keepMade(cands []*candidate, now micros.T) {
+	keep := map[string]string{}
+	for id, p := range c.preempting {
+		if j := c.view.jobs[id]; j != nil && j.open() && j.waiting() > 0 && now < p.until {
+			for m := range p.on {
+				keep[m] = id
+			}
+		}
+	}
+	for _, cd := range cands {
+		cd.keep = keep[cd.m.id]
+	}
+}
+
 // pageLimit is how large a page may get by assignments.
 func (c *Core) pageLimit() int { return int(mostOfPage * float64(c.valueBytes())) }
 
@@ -313,7 +338,7 @@
 	for ; n > 0; n-- {
 		var best *candidate
 		for _, cd := range cands {
-			if cd.held || !mayRun(&j.rec.Spec, cd.rec) || !zones.ok(cd.rec.Zone) {
+			if cd.held || cd.keep != "" || !mayRun(&j.rec.Spec, cd.rec) || !zones.ok(cd.rec.Zone) {
 				continue
 			}
 			t := c.types[cd.rec.Type]
@@ -344,7 +369,7 @@
 	limit, conds := c.pageLimit()-len(j.id)-32, 4*c.cfg.Facts.State.TxnOps-4
 	look := func(cd *candidate) {
 		c.stats.looked++
-		if !j.need.fits(cd.free) || !mayRun(spec, cd.rec) || !zones.ok(cd.rec.Zone) || cd.tasks >= mostOnMachine ||
+		if !j.need.fits(cd.free) || !cd.keptFor(j) || !mayRun(spec, cd.rec) || !zones.ok(cd.rec.Zone) || cd.tasks >= mostOnMachine ||
 			only != nil && cd.d != only || given && !j.need.fits(cd.d.given[spec.Team]) || cd.d.bound > limit || len(cd.d.txn.If) >= conds && !cd.d.jobs[j.id] {
 			return
 		}
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -19,6 +19,7 @@
 type preemption struct {
 	count int
 	until micros.T
+	on    map[string]bool // machines: what is free there until then is the job's
 }
 
 // victim is a running task of lower priority.
@@ -38,9 +39,9 @@
 	if p != nil && now < p.until {
 		return true
 	}
-	made := 0
+	made, on := 0, map[string]bool{}
 	for ; made < min(want, 8); made++ {
-		var best *machine
+		var best *candidate
 		var bestVictims []victim
 		bestLoss := 0.0
 		// A sample of machines is enough when there are many: the loss hardly
@@ -51,7 +52,7 @@
 				cd = cands[c.env.Rand().IntN(len(cands))]
 			}
 			m := cd.m
-			if !mayRun(&j.rec.Spec, cd.rec) || !zones.ok(cd.rec.Zone) || len(m.w.stopping) > 0 {
+			if !mayRun(&j.rec.Spec, cd.rec) || !zones.ok(cd.rec.Zone) || len(m.w.stopping) > 0 || !cd.keptFor(j) {
 				continue
 			}
 			vs, loss, ok := c.victimsOn(m, j, cd.free, now)
@@ -65,23 +66,24 @@
 				continue
 			}
 			if best == nil || loss < bestLoss {
-				best, bestVictims, bestLoss = m, vs, loss
+				best, bestVictims, bestLoss = cd, vs, loss
 			}
 		}
 		if best == nil {
 			break
 		}
 		for _, v := range bestVictims {
-			best.w.stopping[v.key] = true
-			c.log.Debug("task preempted", "task", v.key.ref.String(), "attempt", v.key.attempt, "machine", best.id, "for", j.id)
+			best.m.w.stopping[v.key] = true
+			c.log.Debug("task preempted", "task", v.key.ref.String(), "attempt", v.key.attempt, "machine", best.m.id, "for", j.id)
 		}
-		c.sync(best)
+		best.keep, on[best.m.id] = j.id, true
+		c.sync(best.m)
 	}
 	if made == 0 {
 		return false
 	}
 	c.dirty = true
-	c.preempting[j.id] = &preemption{made, now + preemptWait}
+	c.preempting[j.id] = &preemption{made, now + preemptWait, on}
 	return true
 }
 
--- a/internal/coordination/shares.go
+++ b/internal/coordination/shares.go
@@ -182,7 +182,7 @@
 func (c *Core) take(jobs []*job, cands []*candidate, left map[string]amount, now micros.T) {
 	free := 0.0
 	for _, cd := range cands {
-		if !cd.held {
+		if !cd.held && cd.keep == "" {
 			free += max(0, cd.free.cpus)
 		}
 	}
@@ -205,7 +205,7 @@
 func roomFor(j *job, cands []*candidate) int {
 	room := 0
 	for _, cd := range cands {
-		if !cd.held && mayRun(&j.rec.Spec, cd.rec) {
+		if !cd.held && cd.keptFor(j) && mayRun(&j.rec.Spec, cd.rec) {
 			room += j.need.count(cd.free)
 		}
 	}
@@ -269,7 +269,7 @@
 		if n <= 0 {
 			return
 		}
-		if !cd.held && mayRun(spec, cd.rec) {
+		if !cd.held && cd.keep == "" && mayRun(spec, cd.rec) {
 			k := min(n, need.count(cd.free))
 			cd.free = cd.free.plus(need, -float64(k))
 			n -= k
--- a/internal/coordination/shares_test.go
+++ b/internal/coordination/shares_test.go
@@ -207,3 +207,42 @@
 	t.Logf("begun after %.1f s", (c.sim.Now() - at).Seconds())
 	c.rules()
 }
+
+// TestRoomMadeIsKept: what is free on a machine where tasks are being stopped for a
+// job is that job's until they are gone, and nobody else's.
+func TestRoomMadeIsKept(t *testing.T) {
+	c := newCluster(t, 9).steady()
+	core := c.nodes["n-0"].core
+	now := c.sim.Now()
+	mk := func(id string, service bool, cpus float64) *job {
+		j := &job{id: id, version: 1, state: make([]uint8, 1), need: amount{cpus: cpus},
+			rec: bookkeeping.OpenJob{Spec: bookkeeping.Spec{Team: "free", Service: service, Tasks: 1, CPUs: cpus}}}
+		core.view.jobs[id] = j
+		return j
+	}
+	service, array := mk("j-900000", true, 4), mk("j-900001", false, 2)
+	cand := func(id string) *candidate {
+		return &candidate{m: &machine{id: id, images: map[string]bool{}}, rec: &bookkeeping.PageMachine{Type: "m8", Zone: "a"},
+			d: newDraft("n-0.1", nil, &bookkeeping.Page{Jobs: map[string]*bookkeeping.PageJob{}}), free: amount{cpus: 2}}
+	}
+	cands := []*candidate{cand("i-1"), cand("i-2")}
+	core.preempting[service.id] = &preemption{1, now + sec, map[string]bool{"i-1": true}}
+	core.keepMade(cands, now)
+	zones := newZoneRule(core.view, array)
+	for i := 0; i < 4; i++ {
+		if cd := core.choose(array, cands, zones, nil, nil, false, false); cd != cands[1] {
+			t.Fatal("an array's task goes where room is being made for a service, or nowhere")
+		}
+	}
+	if n := roomFor(array, cands); n != 1 {
+		t.Errorf("room for %d tasks of others, want 1", n)
+	}
+	cands[0].free = amount{cpus: 4} // the stopped ones are gone
+	if cd := core.choose(service, cands, zones, nil, nil, false, false); cd != cands[0] {
+		t.Error("the service doesn't get the room that was made for it")
+	}
+	core.keepMade(cands, now+2*sec)
+	if cands[0].keep != "" {
+		t.Error("room is kept for longer than it takes to be made")
+	}
+}
