Failures are weighed by job and by machine: mistaken jobs cost no machines

Now a job that failed on three machines (all controllers' together, by their hints) with nothing of it done is mistaken: one task at a time is tried, after growing pauses; no demand, no room, no place ahead. A machine is faulty when jobs that run elsewhere fail there; until that is known it gets nothing new.

--- a/internal/coordination/autoscaler.go
+++ b/internal/coordination/autoscaler.go
@@ -32,8 +32,8 @@
 	teamLeft := map[string]amount{}
 	for i, j := range c.openJobs() {
 		spec := &j.rec.Spec
-		if s := c.jobState[j.id]; s != nil && now < s.until {
-			continue
+		if s := c.jobState[j.id]; s != nil && now < s.until || c.mistakes(j) {
+			continue // a mistaken job is tried in what room there is
 		}
 		left, ok := teamLeft[spec.Team]
 		if !ok {
@@ -271,7 +271,7 @@
 	count := map[string]int{}
 	like := map[string]*job{}
 	for _, id := range sortedKeys(c.view.jobs) {
-		if j := c.view.jobs[id]; j.open() && j.rec.Spec.Service {
+		if j := c.view.jobs[id]; j.open() && j.rec.Spec.Service && !c.mistakes(j) {
 			k := j.rec.Spec.Class
 			count[k] += j.rec.Spec.Tasks
 			like[k] = j
@@ -357,7 +357,7 @@
 	seen := map[string]bool{}
 	for _, id := range sortedKeys(c.view.machines) {
 		m := c.view.machines[id]
-		if m.w == nil || m.rec == nil || len(m.tasks) > 0 || needed[id] && m.rec.State != bookkeeping.MachineDraining || m.w.removing != "" {
+		if m.w == nil || m.rec == nil || len(m.tasks) > 0 || needed[id] && m.rec.State != bookkeeping.MachineDraining && !m.w.doubtful || m.w.removing != "" {
 			continue
 		}
 		switch m.rec.State {
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -81,7 +81,8 @@
 	storeDown  bool
 	peerOK     map[string]micros.T // when a peer last said that it reaches the store
 	peerSeen   map[string]micros.T
-	peerUsers  map[string]micros.T // when a peer last said that many users wait there
+	peerUsers  map[string]micros.T       // when a peer last said that many users wait there
+	peerFails  map[string]map[string]int // by peer, the jobs that fail there, see failing
 	deadSince  map[string]micros.T
 
 	types     map[string]protocol.MachineType
@@ -133,7 +134,7 @@
 	c := &Core{
 		cfg: cfg, set: set, env: env, log: log, node: cfg.Node,
 		inc:    env.Rand().Uint64()>>16 | 1,
-		peerOK: map[string]micros.T{}, peerSeen: map[string]micros.T{}, peerUsers: map[string]micros.T{}, deadSince: map[string]micros.T{},
+		peerOK: map[string]micros.T{}, peerSeen: map[string]micros.T{}, peerUsers: map[string]micros.T{}, peerFails: map[string]map[string]int{}, deadSince: map[string]micros.T{},
 		pages: map[string]*pageState{}, fresh: map[string]*bookkeeping.Page{}, arrivals: map[string]*arrival{}, claimSeen: map[string]claimSeen{},
 		claiming: map[string]bool{}, jobBusy: map[string]bool{}, accepted: map[string]uint64{}, teamShort: map[string]shortage{},
 		jobState: map[string]*jobState{}, bias: map[string]float64{}, sightings: map[string]*sighting{},
--- /dev/null
+++ b/internal/coordination/faults_test.go
@@ -0,0 +1,171 @@
+package coordination
+
+import (
+	"testing"
+
+	"pipitgap/internal/bookkeeping"
+	"pipitgap/internal/config"
+)
+
+// TestBlame: a machine is faulty when jobs that run elsewhere fail on it, not when
+// jobs fail that fail everywhere; until either is known it gets nothing new.
+func TestBlame(t *testing.T) {
+	c := newCluster(t, 1).steady()
+	core := c.nodes["n-0"].core
+	v := core.view
+	v.putJob("runs", 4, 1)
+	v.put(bookkeeping.Key(bookkeeping.KindPage, "other"), pageOf("i-9", "runs", 1, 2), 2)
+	v.putJob("new", 4, 1)
+	v.putJob("here", 4, 1)
+	v.putJob("others", 4, 1)
+	v.finals.add("ended", bookkeeping.Done)
+	v.finals.add("dropped", bookkeeping.Cancelled)
+	core.jobNotes("here").fails = 3
+	core.jobNotes("others").fails = 1
+	core.peerFails["n-1"], core.peerFails["n-2"] = map[string]int{"others": 1}, map[string]int{"others": 1}
+	for _, tc := range []struct {
+		name             string
+		failures         map[string]int
+		faulty, doubtful bool
+	}{
+		{"nothing", nil, false, false},
+		{"one that runs elsewhere", map[string]int{"runs": 1}, false, false},
+		{"again", map[string]int{"runs": 2}, true, true},
+		{"and one that was done since", map[string]int{"runs": 1, "ended": 1}, true, true},
+		{"of one that nothing is known of", map[string]int{"new": 5}, false, true},
+		{"with one that runs elsewhere", map[string]int{"new": 1, "runs": 1}, false, true},
+		{"of one that fails everywhere", map[string]int{"here": 9}, false, false},
+		{"of one that fails at others too", map[string]int{"others": 9}, false, false},
+		{"of two that fail everywhere", map[string]int{"here": 4, "others": 4, "runs": 1}, false, false},
+		{"of one that was cancelled", map[string]int{"dropped": 4}, false, false},
+	} {
+		faulty, doubtful := core.blame(&worker{failures: tc.failures})
+		if faulty != tc.faulty || doubtful != tc.doubtful {
+			t.Errorf("%s: faulty %v, doubtful %v", tc.name, faulty, doubtful)
+		}
+	}
+}
+
+// TestMistakenJobs: jobs that fail everywhere, beside good ones, cost a few tries, no
+// machine and no rental; a machine on which everything fails is still found and
+// replaced, and what failed there goes on elsewhere. Each job that failed used to
+// speak against its machines, and all of its tasks were tried again at every pause.
+func TestMistakenJobs(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		mistakes int
+		sick     int
+	}{
+		{"mistaken jobs", 3, 0},
+		{"a faulty machine", 0, 1},
+		{"both", 3, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newCluster(t, uint64(900+tc.mistakes+tc.sick))
+			c.set.ScaleDownDelay = config.Span(8 * sec)
+			c.steady()
+			keep := c.submit(0, jobOf{"shape": "daemon", "pips": 6, "cores": 1.0}) // keeps machines up
+			if !c.sim.RunUntil(60*sec, func() bool { return c.fleet.Running(keep) == 6 }) {
+				t.Fatal("the service isn't up")
+			}
+			var good, bad []string
+			for i := 0; i < 2; i++ {
+				good = append(good, c.submit(4*sec, jobOf{"pips": 12, "cores": 1.0}))
+			}
+			c.sim.Run(2 * sec)
+			sick, moved := map[string]bool{}, 0
+			for _, id := range sortedKeys(c.fleet.Workers) {
+				if w := c.fleet.Workers[id]; len(sick) < tc.sick && !w.Machine.Gone && len(w.Tasks) < 4 {
+					w.Sick, sick[id] = true, true
+					for task := range w.Tasks {
+						if jobOfTask(task) == keep {
+							moved++
+						}
+					}
+				}
+			}
+			for i := 0; i < tc.mistakes; i++ {
+				id := c.submit(4*sec, jobOf{"pips": 30, "cores": 4.0})
+				j := c.fleet.Jobs[id]
+				j.Fails = true
+				c.fleet.Jobs[id] = j
+				bad = append(bad, id)
+			}
+			for i := 0; i < 4; i++ {
+				good = append(good, c.submit(4*sec, jobOf{"pips": 12, "cores": 1.0}))
+				c.sim.Run(3 * sec)
+			}
+			for _, id := range good {
+				c.finished(id, 60*sec)
+			}
+			c.sim.Run(30 * sec)
+			for id := range sick {
+				if !c.cloud.Machines[id].Gone {
+					t.Errorf("%s, on which everything fails, is still there", id)
+				}
+			}
+			again := 0 // replicas that had to start anew: their machine was given back
+			for task, n := range c.fleet.Starts {
+				if jobOfTask(task) == keep {
+					again += n - 1
+				}
+			}
+			if again > moved {
+				t.Errorf("%d replicas started anew, %d stood on faulty machines", again, moved)
+			}
+			if n := c.cloud.Count(); n > 4 {
+				t.Errorf("%d machines for six replicas and an occasional try", n)
+			}
+			starts, tasks := 0, 30*tc.mistakes
+			for task, n := range c.fleet.Starts {
+				for _, id := range bad {
+					if jobOfTask(task) == id {
+						starts += n
+					}
+				}
+			}
+			if tasks > 0 && (starts < 3 || starts > 2*tasks) {
+				t.Errorf("%d starts of %d mistaken tasks", starts, tasks)
+			}
+			for i, id := range bad {
+				r := c.ask(c.names[i%3], "POST", "/v2/runs/"+id+"/abort", nil)
+				if r.Status != 200 {
+					t.Errorf("cancelling %s: %d", id, r.Status)
+				}
+				c.fleet.Gone[id] = c.sim.Now() + 32*sec
+			}
+			c.sim.Run(40 * sec)
+			for _, id := range bad {
+				if c.fleet.Running(id) > 0 {
+					t.Errorf("%s still runs", id)
+				}
+				if c.nodes["n-0"].core.view.jobs[id] != nil {
+					t.Errorf("%s has left a record", id)
+				}
+			}
+			c.rules()
+		})
+	}
+}
+
+// TestMistakeIsForgiven: a job that failed on several faulty machines goes on at once
+// when something of it completes, and soon when its machines turn out faulty.
+func TestMistakeIsForgiven(t *testing.T) {
+	c := newCluster(t, 950).steady()
+	keep := c.submit(0, jobOf{"shape": "daemon", "pips": 24, "cores": 2.0})
+	if !c.sim.RunUntil(60*sec, func() bool { return c.fleet.Running(keep) == 24 }) {
+		t.Fatal("the service isn't up")
+	}
+	n := 0
+	for _, id := range sortedKeys(c.fleet.Workers) {
+		if w := c.fleet.Workers[id]; n < 3 && !w.Machine.Gone {
+			w.Sick = true
+			n++
+		}
+	}
+	ids := []string{c.submit(3*sec, jobOf{"pips": 40, "cores": 0.5}), c.submit(3*sec, jobOf{"pips": 1, "cores": 0.5})}
+	for _, id := range ids {
+		c.finished(id, 45*sec)
+	}
+	c.rules()
+}
--- a/internal/coordination/learning.go
+++ b/internal/coordination/learning.go
@@ -21,22 +21,14 @@
 			w.measure((c.now() - at).Seconds(), c.expected(&j.rec.Spec))
 			c.learn(&j.rec.Spec, (c.now() - at).Seconds())
 		}
-		w.failed, w.failedJobs = 0, map[string]bool{}
+		clear(w.failures)
 		if js := c.jobState[j.id]; js != nil {
-			js.fails, js.step, js.until = 0, 0, 0
+			js.fails, js.step, js.retryAt = 0, 0, 0
 			clear(js.failedOn)
 		}
 	case protocol.CauseError:
 		c.stats.failed++
-		w.failed++
-		w.failedJobs[j.id] = true
-		js := c.jobNotes(j.id)
-		js.fails++
-		js.failedOn[m.id] = true
-		// Tasks that fail on several machines: the job is at fault, not they.
-		if len(js.failedOn) >= 3 {
-			js.pause(c.now(), c.set)
-		}
+		c.noteFailure(m, j)
 		c.log.Debug("task failed", "task", ref.String(), "attempt", t.Attempt, "machine", m.id)
 	case protocol.CauseUnknown, protocol.CauseFull, protocol.CauseBusy:
 		js := c.jobNotes(j.id)
@@ -62,10 +54,12 @@
 
 // jobState is what a controller notes about a job beside the store.
 type jobState struct {
-	fails      int
-	failedOn   map[string]bool
+	fails      int             // machines of ours that it has failed on, with nothing completed since
+	failedOn   map[string]bool // those that it isn't tried on again
+	failedAt   micros.T
+	retryAt    micros.T // if it fails everywhere: its next try
+	step       micros.T // the pause before that
 	until      micros.T // not to be placed before
-	step       micros.T
 	most       int      // tasks that it had begun when it last got on
 	due        int      // tasks that it is to have begun before it is starved no more
 	movedAt    micros.T // when that was
@@ -84,14 +78,14 @@
 	return s
 }
 
-// pause backs a job off, longer each time.
+// pause backs a job that fails everywhere off, longer each time.
 func (s *jobState) pause(now micros.T, set config.Settings) {
 	if s.step == 0 {
 		s.step = set.BackoffFirst.T()
 	} else {
 		s.step = min(2*s.step, set.BackoffMost.T())
 	}
-	s.until = now + s.step
+	s.retryAt = now + s.step
 }
 
 // measure follows how fast the machine is. Single estimates are wrong by half
--- a/internal/coordination/membership.go
+++ b/internal/coordination/membership.go
@@ -11,8 +11,9 @@
 type Hint struct {
 	Node        string
 	Incarnation uint64
-	StoreOK     bool // the sender reached the store lately
-	Users       int  // calls of users that wait there for the store
+	StoreOK     bool           // the sender reached the store lately
+	Users       int            // calls of users that wait there for the store
+	Failing     map[string]int // jobs that fail there: on how many machines
 }
 
 func (c *Core) grant() {
@@ -144,8 +145,9 @@
 // gossip tells the peers that we live and whether we reach the store.
 func (c *Core) gossip(now micros.T) {
 	ok := !c.storeDown && now-c.storeOKAt < 1500*micros.Millisecond
+	failing := c.failing()
 	for _, p := range c.cfg.Known {
-		c.env.Peer(p.Node, Hint{Node: c.node, Incarnation: c.inc, StoreOK: ok, Users: c.queue.Waiting(bookkeeping.RankUser)})
+		c.env.Peer(p.Node, Hint{Node: c.node, Incarnation: c.inc, StoreOK: ok, Users: c.queue.Waiting(bookkeeping.RankUser), Failing: failing})
 	}
 }
 
@@ -156,6 +158,7 @@
 	if h.StoreOK {
 		c.peerOK[h.Node] = now
 	}
+	c.peerFails[h.Node] = h.Failing
 	if h.Users > manyUsers {
 		c.peerUsers[h.Node] = now
 	}
--- a/internal/coordination/order.go
+++ b/internal/coordination/order.go
@@ -17,6 +17,7 @@
 	urgent bool    // past its first aims, and soon past the next
 	owed   bool    // its team is within its guarantee
 	hungry bool    // got nothing for long, see starved
+	last   bool    // it fails everywhere: an occasional try, after all others
 }
 
 // before orders jobs: higher priority first; of the same priority those first
@@ -31,6 +32,9 @@
 // waiting in vain for long, with a part of its tasks.
 func (a standing) before(b standing) bool {
 	x, y := a.job, b.job
+	if a.last != b.last {
+		return b.last
+	}
 	if a.hungry != b.hungry {
 		if a.hungry {
 			return !y.rec.Spec.Service
@@ -67,7 +71,11 @@
 			slack, missed := c.slack(j, wall)
 			work := float64(j.waiting()) * j.need.cpus * c.expected(&j.rec.Spec)
 			urgent := missed >= lateAims && slack >= 0 && slack < lastChance
-			all = append(all, standing{j, slack, work, missed, urgent, c.owed(j), c.starved(j, now)})
+			st := standing{j, slack, work, missed, urgent, c.owed(j), c.starved(j, now), c.mistakes(j)}
+			if st.last {
+				st.urgent, st.owed, st.hungry = false, false, false
+			}
+			all = append(all, st)
 		}
 	}
 	c.rescue(all, wall)
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -46,7 +46,10 @@
 // worker has lately shown that our answers reach it, and nothing speaks against it.
 func (c *Core) usable(m *machine, now micros.T) bool {
 	w := m.w
-	if w == nil || w.session == 0 || !w.acked || w.lost || w.noticed || w.removing != "" || w.faulty() || !w.reached() {
+	if w == nil || w.session == 0 || !w.acked || w.lost || w.noticed || w.removing != "" || !w.reached() {
+		return false
+	}
+	if _, doubtful := c.blame(w); doubtful {
 		return false
 	}
 	report := micros.FromSeconds(c.cfg.Facts.Workers.ReportS)
@@ -110,6 +113,12 @@
 	for _, j := range jobs {
 		spec := &j.rec.Spec
 		notes := c.jobNotes(j.id)
+		mistaken, tries := c.mistakes(j), 0
+		if mistaken {
+			if tries = c.mayTry(j, now); tries == 0 {
+				continue
+			}
+		}
 		if now < notes.until || c.jobBusy[j.id] || c.view.watched < j.version && c.accepted[j.id] != j.version {
 			if now < notes.takenUntil { // on its way to us: its room is still its own
 				reserve(j.need, spec, cands, notes.taken)
@@ -125,6 +134,9 @@
 		if c.starved(j, now) {
 			most = max(1, notes.due-j.done-j.held)
 		}
+		if mistaken {
+			most = tries
+		}
 		fenced := spec.OneZone || spec.Spread
 		zones := newZoneRule(c.view, j)
 		pending := 0
@@ -215,6 +227,9 @@
 			}
 		}
 		left[spec.Team] = room
+		if mistaken {
+			continue // nothing is held, stopped or fetched for it
+		}
 		if lacking {
 			c.lacks(spec.Team, j.need, pending, room)
 		}
--- a/internal/coordination/shares.go
+++ b/internal/coordination/shares.go
@@ -75,7 +75,7 @@
 func (c *Core) backlog() map[string]float64 {
 	out := map[string]float64{}
 	for _, j := range c.view.jobs {
-		if !j.open() || j.waiting() == 0 {
+		if !j.open() || j.waiting() == 0 || c.mistakes(j) {
 			continue
 		}
 		for _, s := range j.rec.Shares {
@@ -217,7 +217,7 @@
 func (c *Core) takeJob(j *job, cands []*candidate, left map[string]amount, rooms *partRooms, wall int64) int {
 	spec := &j.rec.Spec
 	if len(j.rec.Shares) == 1 && j.rec.Shares[0].Part == c.node ||
-		c.jobBusy[j.id] || c.now() < c.jobNotes(j.id).until || c.view.watched < j.version {
+		c.jobBusy[j.id] || c.now() < c.jobNotes(j.id).until || c.view.watched < j.version || c.mistakes(j) {
 		return 0
 	}
 	room := roomFor(j, cands)
--- a/internal/coordination/tending.go
+++ b/internal/coordination/tending.go
@@ -72,7 +72,12 @@
 			}
 			c.dirty = true
 		}
-		if q := silent > patience || w.faulty(); q != w.quiet {
+		faulty, doubtful := c.blame(w)
+		if doubtful != w.doubtful {
+			w.doubtful = doubtful
+			c.dirty = true
+		}
+		if q := silent > patience || faulty; q != w.quiet {
 			w.quiet = q
 			c.dirty = true
 		}
@@ -98,7 +103,8 @@
 			// Deleting it proves its tasks gone long before its lease would. Not
 			// when many are silent: then it is we who are cut off.
 			c.remove(m, "silent")
-		case w.faulty():
+		case faulty:
+			c.acquit(m)
 			c.remove(m, "faulty")
 		case w.noticed && m.rec.State != bookkeeping.MachineDraining && len(w.stopping) == 0:
 			noticed++
@@ -208,14 +214,6 @@
 	return false
 }
 
-// faulty: tasks of several jobs, or one job again and again, failed on it and
-// nothing completed in between; or what it runs takes several times as long as
-// expected, again and again.
-func (w *worker) faulty() bool {
-	const samples, drag = 6, 1.1 // three times as long
-	return len(w.failedJobs) >= 2 || w.failed >= 4 || w.samples >= samples && w.drag > drag
-}
-
 // leave stops what gains by it before a noticed machine goes: services start
 // elsewhere now rather than later, checkpointed work is saved.
 func (c *Core) leave(m *machine) {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -51,19 +51,19 @@
 	misses                 int      // check-ins in a row without it
 	lost                   bool     // its lease has surely ended since answeredAt
 
-	outcomes   map[attemptKey]outcomeKind // not yet in the store
-	sent       map[attemptKey]*sent
-	busy       bool // a direct batch is in flight
-	again      bool // and there is more to say afterwards
-	noticed    bool
-	quiet      bool
-	removing   string                  // why it is to be given back
-	stopping   map[attemptKey]bool     // preempted: to be stopped
-	since      map[attemptKey]micros.T // first seen running
-	failedJobs map[string]bool
-	failed     int
-	drag       float64 // how much longer than expected tasks run here: log, smoothed
-	samples    int
+	outcomes map[attemptKey]outcomeKind // not yet in the store
+	sent     map[attemptKey]*sent
+	busy     bool // a direct batch is in flight
+	again    bool // and there is more to say afterwards
+	noticed  bool
+	quiet    bool
+	removing string                  // why it is to be given back
+	stopping map[attemptKey]bool     // preempted: to be stopped
+	since    map[attemptKey]micros.T // first seen running
+	doubtful bool                    // too much failed here, see blame
+	failures map[string]int          // by job, since something last completed here
+	drag     float64                 // how much longer than expected tasks run here: log, smoothed
+	samples  int
 }
 
 func (w *worker) base() uint64  { return w.claim << 32 }
@@ -127,7 +127,7 @@
 		m.w = &worker{
 			claim: m.claim(), asked: m.claim() << 32, checkAt: now, answeredAt: now, aliveAt: now,
 			rep: map[attemptKey]protocol.TaskReport{}, outcomes: map[attemptKey]outcomeKind{}, sent: map[attemptKey]*sent{},
-			stopping: map[attemptKey]bool{}, since: map[attemptKey]micros.T{}, failedJobs: map[string]bool{},
+			stopping: map[attemptKey]bool{}, since: map[attemptKey]micros.T{}, failures: map[string]int{},
 		}
 	}
 }
