Idle-time work takes spare room and spot machines only, and gives way at once

Arrays of the lowest priority without deadline, aim or guarantee now use spot machines and ordinary ones that services keep; what can save its work is stopped for any of higher priority, and the leader counts that as room.

--- a/internal/coordination/autoscaler.go
+++ b/internal/coordination/autoscaler.go
@@ -44,7 +44,11 @@
 		teamLeft[spec.Team] = left.plus(j.need, -float64(n))
 		if n > 0 {
 			left, _ := c.slack(j, c.env.Wall())
-			ds = append(ds, &demand{spec: spec, need: j.need, count: n, job: j.id, index: i, zones: newZoneRule(c.view, j), slack: left, lasts: c.expected(spec)})
+			d := &demand{spec: spec, need: j.need, count: n, job: j.id, index: i, zones: newZoneRule(c.view, j), slack: left, lasts: c.expected(spec), idle: c.bound(j)}
+			if !d.idle && c.idle(j) {
+				d.count = 1
+			}
+			ds = append(ds, d)
 		}
 	}
 	for _, id := range sortedKeys(c.view.machines) {
@@ -102,6 +106,13 @@
 			b.rate -= j.need.cpus
 		} else {
 			b.stoppable = b.stoppable.plus(j.need, 1)
+			if s := &j.rec.Spec; s.CheckpointS > 0 && j.open() && c.beyond(s.Team, amount{}) {
+				if b.yields == nil {
+					b.yields = map[int]amount{}
+				}
+				b.yields[s.Priority] = b.yields[s.Priority].plus(j.need, 1)
+				continue // it isn't waited for, it gives way
+			}
 			b.busy += j.need.cpus * c.expected(&j.rec.Spec) / 2
 		}
 	}
@@ -218,6 +229,7 @@
 	ds, bins := c.demands(now)
 	largestFirst(ds)
 	fill(ds, bins)
+	displacing(ds, bins)
 	reserve := c.headroom()
 	needed := map[string]bool{}
 	holdRoom(reserve, bins, needed)
@@ -301,7 +313,7 @@
 		}
 	}
 	absorb(wanted, bins, c.set.ExpectedRoomOrdinary, true)
-	plan(wanted, offers, mostAPass, nil, chosen)
+	plan(wanted, offers, mostAPass, func(d *demand, o *offerInfo) bool { return o.spot || !d.idle }, chosen)
 	return chosen
 }
 
--- a/internal/coordination/order.go
+++ b/internal/coordination/order.go
@@ -165,12 +165,18 @@
 	}
 	after := fairAfter
 	if n.most > 0 {
+		if c.idle(j) {
+			return false
+		}
 		after = fairAgain
 	}
 	if now-n.movedAt <= after {
 		return false
 	}
 	n.due = got + max(1, j.waiting()/fairPart)
+	if c.idle(j) {
+		n.due = got + 1 // that it begins; the rest is for idle time
+	}
 	return true
 }
 
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -113,6 +113,7 @@
 	for _, j := range jobs {
 		spec := &j.rec.Spec
 		notes := c.jobNotes(j.id)
+		idle := c.bound(j)
 		mistaken, tries := c.mistakes(j), 0
 		if mistaken {
 			if tries = c.mayTry(j, now); tries == 0 {
@@ -171,11 +172,11 @@
 				again := !j.need.fits(room)
 				if cd == nil || again && !j.need.fits(cd.d.given[spec.Team]) || spec.Service || !j.need.fits(cd.free) || !zones.ok(cd.rec.Zone) || cd.tasks >= mostOnMachine ||
 					cd.d.bound+2*bookkeeping.TaskBound(i) > c.pageLimit() {
-					cd = c.choose(j, cands, zones, only, near, sample, again)
+					cd = c.choose(j, cands, zones, only, near, sample, again, idle)
 				}
 				if cd == nil {
 					lacking, roomless = again, !again
-					if !fenced && !making && len(notes.failedOn) == 0 {
+					if !fenced && !making && !idle && len(notes.failedOn) == 0 {
 						full[kind] = full[kind] || roomless
 						full[short] = full[short] || lacking
 					}
@@ -265,6 +266,9 @@
 		// guarantee owes to a job that found no room for a while.
 		want := pending
 		if !spec.Service {
+			if n := min(pending, j.need.count(room)); n > 0 && c.displace(j, n, zones, cands, now) {
+				continue
+			}
 			if wall-j.rec.At <= int64(owedAfter) || !c.guaranteed(j) {
 				continue
 			}
@@ -376,7 +380,8 @@
 // one that has the image, the tightest fit. Under overload it looks at a sample,
 // and at all before it says that there is no room.
 // given: only pages that give back enough of the team's share.
-func (c *Core) choose(j *job, cands []*candidate, zones *zoneRule, only, near *draft, sample, given bool) *candidate {
+// idle: ordinary machines only where services keep them in any case.
+func (c *Core) choose(j *job, cands []*candidate, zones *zoneRule, only, near *draft, sample, given, idle bool) *candidate {
 	var best *candidate
 	bestScore := math.Inf(1)
 	spec := &j.rec.Spec
@@ -388,7 +393,7 @@
 			only != nil && cd.d != only || given && !j.need.fits(cd.d.given[spec.Team]) || cd.d.bound > limit || len(cd.d.txn.If) >= conds && !cd.d.jobs[j.id] {
 			return
 		}
-		if notes != nil && notes.failedOn[cd.m.id] {
+		if notes != nil && notes.failedOn[cd.m.id] || idle && !cd.rec.Spot && cd.served == 0 {
 			return
 		}
 		score := cd.free.cpus
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -30,6 +30,7 @@
 	zones *zoneRule
 	lasts float64 // seconds that a task is expected to run
 	slack float64 // seconds that it may wait and still meet its aim
+	idle  bool    // idle-time work: ordinary machines aren't rented for it
 }
 
 // bin is a machine with room, there already or requested.
@@ -38,12 +39,13 @@
 	spot      bool
 	size      amount // the machine's
 	free      amount
-	rate      float64 // CPUs that services leave to other tasks
-	busy      float64 // CPU seconds of those that are spoken for
-	boot      float64 // boot time of its type, seconds
-	stoppable amount  // taken by tasks that a service may preempt
-	machine   string  // "" for a requested one
-	late      bool    // requested, and not up when it should be
+	rate      float64        // CPUs that services leave to other tasks
+	busy      float64        // CPU seconds of those that are spoken for
+	boot      float64        // boot time of its type, seconds
+	stoppable amount         // taken by tasks that a service may preempt
+	machine   string         // "" for a requested one
+	late      bool           // requested, and not up when it should be
+	yields    map[int]amount // by priority, what tasks take that give way to higher ones
 }
 
 // absorb takes from the demands what running machines will have room for within
@@ -86,6 +88,49 @@
 	return allowed(d.spec, typ, zone) && (d.spec.Spot || !spot)
 }
 
+// displacing takes from the demands of arrays what work of lower priority makes room
+// for by giving way: no machine is rented for that.
+func displacing(ds []*demand, bins []*bin) {
+	for _, d := range ds {
+		if d.spec.Service {
+			continue
+		}
+		for _, b := range bins {
+			if d.count == 0 {
+				break
+			}
+			if len(b.yields) == 0 || !d.mayUse(b.typ, b.zone, b.spot) {
+				continue
+			}
+			room := b.free
+			for p, a := range b.yields {
+				if p < d.spec.Priority {
+					room = room.plus(a, 1)
+				}
+			}
+			n := d.fitting(room, b.zone)
+			if n == 0 {
+				continue
+			}
+			left := d.need // of each, what hasn't been taken from what is free
+			left = amount{left.cpus * float64(n), left.gpus * float64(n), left.mem * float64(n)}
+			part := func(a amount) amount {
+				return amount{min(a.cpus, left.cpus), min(a.gpus, left.gpus), min(a.mem, left.mem)}
+			}
+			t := part(b.free)
+			b.free, left = b.free.plus(t, -1), left.plus(t, -1)
+			for p := 0; p < d.spec.Priority; p++ {
+				t := part(b.yields[p])
+				if t != (amount{}) {
+					b.yields[p], left = b.yields[p].plus(t, -1), left.plus(t, -1)
+				}
+			}
+			b.busy += float64(n) * d.need.cpus * d.lasts
+			d.take(n, b.zone)
+		}
+	}
+}
+
 // fitting counts the demand's tasks that free room in a zone can take.
 func (d *demand) fitting(free amount, zone string) int {
 	n := min(d.count, d.need.count(free))
--- a/internal/coordination/plan_test.go
+++ b/internal/coordination/plan_test.go
@@ -190,12 +190,12 @@
 		cands = append(cands, &candidate{m: m, rec: m.rec, d: d, free: amount{cpus: 1}})
 	}
 	zones := newZoneRule(core.view, j)
-	if cd := core.choose(j, cands, zones, nil, nil, true, false); cd != nil {
+	if cd := core.choose(j, cands, zones, nil, nil, true, false, false); cd != nil {
 		t.Errorf("%s has no room", cd.m.id)
 	}
 	only := cands[len(cands)/3]
 	only.free = amount{cpus: 2}
-	if cd := core.choose(j, cands, zones, nil, nil, true, false); cd != only {
+	if cd := core.choose(j, cands, zones, nil, nil, true, false, false); cd != only {
 		t.Error("the one machine with room was not found")
 	}
 	for _, cd := range cands {
@@ -203,7 +203,7 @@
 	}
 	seen := map[string]bool{}
 	for i := 0; i < 20; i++ {
-		seen[core.choose(j, cands, zones, nil, nil, true, false).m.id] = true
+		seen[core.choose(j, cands, zones, nil, nil, true, false, false).m.id] = true
 	}
 	if len(seen) < 5 {
 		t.Errorf("20 choices among equals fell on %d machines: no sample", len(seen))
--- a/internal/coordination/shares_test.go
+++ b/internal/coordination/shares_test.go
@@ -230,7 +230,7 @@
 	core.keepMade(cands, now)
 	zones := newZoneRule(core.view, array)
 	for i := 0; i < 4; i++ {
-		if cd := core.choose(array, cands, zones, nil, nil, false, false); cd != cands[1] {
+		if cd := core.choose(array, cands, zones, nil, nil, false, false, false); cd != cands[1] {
 			t.Fatal("an array's task goes where room is being made for a service, or nowhere")
 		}
 	}
@@ -238,7 +238,7 @@
 		t.Errorf("room for %d tasks of others, want 1", n)
 	}
 	cands[0].free = amount{cpus: 4} // the stopped ones are gone
-	if cd := core.choose(service, cands, zones, nil, nil, false, false); cd != cands[0] {
+	if cd := core.choose(service, cands, zones, nil, nil, false, false, false); cd != cands[0] {
 		t.Error("the service doesn't get the room that was made for it")
 	}
 	core.keepMade(cands, now+2*sec)
