What a controller can't reach it doesn't keep; what it knew before standing still it asks anew

A controller that stood still judged by what it had held (idle machines to be removed) when it went on. Ruled out: the workers' way to the next controller (7 s of 12). Now a controller nearly all of whose workers are silent, while others hear theirs, hands its pages over, says so in its hints, and is passed over for new machines and waiting tasks until a probe answers; cut off with its workers it sends them to look elsewhere once its membership has ended, and keeps those that come back; after standing still nothing is decided before the store's word, and silence counts from then. Tasks that were just taken over stay a second where they are: one job went round 26 times. A commit of pages is bounded in bytes: one that had inherited 12 pages of 16 KiB could not have claimed them again.

--- a/internal/coordination/checkins.go
+++ b/internal/coordination/checkins.go
@@ -39,6 +39,11 @@
 		answer(errorReply(503, "records not read yet"))
 		return
 	}
+	if c.outdated(now) {
+		// It may have waited here for as long as we stood still.
+		answer(errorReply(503, "stood still"))
+		return
+	}
 	if c.mustLapse(now) {
 		answer(errorReply(503, "cut off from the state service"))
 		return
@@ -52,6 +57,8 @@
 		}
 	}
 	switch {
+	case m != nil && m.w != nil && c.forsaken(m.w, now):
+		answer(errorReply(503, "cut off from all others"))
 	case m != nil && m.w != nil:
 		answer(c.report(m, &rep))
 	case c.view.removal[rep.Machine] != "":
@@ -94,7 +101,7 @@
 		c.arrive(rep, nil, answer)
 		return
 	case !live:
-		if h := home(m.page.name, c.live()); h != c.node {
+		if h := home(m.page.name, c.able()); h != c.node {
 			answer(c.redirect(h))
 			return
 		}
@@ -228,7 +235,7 @@
 	// It has nothing on it yet, so there is no hurry; a request that is rewritten
 	// makes the claims of all its other machines fail.
 	if first := c.seen(rep.Machine, 0, now); now-first < micros.FromSeconds(c.cfg.Facts.Workers.LeaseS)/2 {
-		if c.isLive(to) {
+		if c.isLive(to) && !c.cutOff(to, now) {
 			answer(c.redirect(to))
 		} else {
 			answer(c.redirect("")) // the leader is about to name another
--- a/internal/coordination/cluster_test.go
+++ b/internal/coordination/cluster_test.go
@@ -36,6 +36,7 @@
 	facts    func(*config.Config)                              // changes what the platform hands over
 	accepted func(id string)                                   // a job that was sent is accepted
 	refuse   bool                                              // controllers that are down refuse connections, rather than say nothing
+	still    map[string]*[]func()                              // controllers that stand still: what waits for them
 	commands int                                               // direct commands, and questions to workers
 	largest  int                                               // bytes of an answer, at most
 }
@@ -59,11 +60,37 @@
 func (e *simEnv) guard(f func()) func() {
 	return func() {
 		if e.alive() {
-			f()
+			e.n.c.awake(e.n.name, func() {
+				if e.alive() {
+					f()
+				}
+			})
 		}
 	}
 }
 
+// awake has something happen in a controller, now or when it goes on.
+func (c *cluster) awake(node string, f func()) {
+	if wait := c.still[node]; wait != nil {
+		*wait = append(*wait, f)
+		return
+	}
+	f()
+}
+
+// standStill stops a controller for a while: its clocks run on, and all that comes to
+// it waits.
+func (c *cluster) standStill(node string, d micros.T) {
+	wait := &[]func(){}
+	c.still[node] = wait
+	c.sim.After(d, func() {
+		delete(c.still, node)
+		for _, f := range *wait {
+			f()
+		}
+	})
+}
+
 func (e *simEnv) Now() micros.T              { return e.n.c.sim.Now() }
 func (e *simEnv) Wall() int64                { return int64(e.n.c.sim.Now()) + 1_000_000_000_000 }
 func (e *simEnv) Rand() *rand.Rand           { return e.rnd }
@@ -115,7 +142,11 @@
 	}
 	c.sim.After(2*micros.Millisecond, func() {
 		if n := c.nodes[node]; n.core != nil {
-			n.core.OnHint(h)
+			c.awake(node, func() {
+				if n.core != nil {
+					n.core.OnHint(h)
+				}
+			})
 		}
 	})
 }
@@ -128,7 +159,7 @@
 func newCluster(t testing.TB, seed uint64) *cluster {
 	sim := standin.NewSim(seed)
 	c := &cluster{t: t, sim: sim, names: []string{"n-0", "n-1", "n-2"}, nodes: map[string]*simNode{},
-		set: config.Defaults(), cut: map[string]bool{}, deaf: map[string]bool{}, unseen: map[string]bool{},
+		set: config.Defaults(), cut: map[string]bool{}, deaf: map[string]bool{}, unseen: map[string]bool{}, still: map[string]*[]func(){},
 		teams: []config.Team{{Name: "free"}, {Name: "tight", CPUs: 8, CPUsMax: 12}}}
 	c.store = standin.NewStore(sim, 200, 50, 12)
 	c.cloud = standin.NewCloud(sim, testTypes)
@@ -223,11 +254,16 @@
 		return
 	}
 	life := n.life
-	n.core.OnRequest(method, target, body, func(r Reply) {
-		c.largest = max(c.largest, len(r.Body))
-		if n.life == life && n.core != nil {
-			back(r)
+	c.awake(node, func() {
+		if n.life != life || n.core == nil {
+			return
 		}
+		n.core.OnRequest(method, target, body, func(r Reply) {
+			c.largest = max(c.largest, len(r.Body))
+			if n.life == life && n.core != nil {
+				back(r)
+			}
+		})
 	})
 }
 
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -81,7 +81,14 @@
 	storeDown  bool
 	peerOK     map[string]micros.T // when a peer last said that it reaches the store
 	peerSeen   map[string]micros.T
-	peerUsers  map[string]micros.T       // when a peer last said that many users wait there
+	peerUsers  map[string]micros.T // when a peer last said that many users wait there
+	peerReach  map[string]Reach    // what a peer last said of its workers
+	lostAt     micros.T            // since when our workers are out of reach; 0: they aren't
+	heardMost  bool                // most of them were heard lately
+	probeAt    micros.T
+	tickAt     micros.T                  // when it was last seen to run
+	freshAt    micros.T                  // when the watch was sent that last answered
+	resumedAt  micros.T                  // when we last went on after standing still
 	peerFails  map[string]map[string]int // by peer, the jobs that fail there, see failing
 	deadSince  map[string]micros.T
 
@@ -134,7 +141,7 @@
 	c := &Core{
 		cfg: cfg, set: set, env: env, log: log, node: cfg.Node,
 		inc:    env.Rand().Uint64()>>16 | 1,
-		peerOK: map[string]micros.T{}, peerSeen: map[string]micros.T{}, peerUsers: map[string]micros.T{}, peerFails: map[string]map[string]int{}, deadSince: map[string]micros.T{},
+		peerOK: map[string]micros.T{}, peerSeen: map[string]micros.T{}, peerUsers: map[string]micros.T{}, peerFails: map[string]map[string]int{}, peerReach: map[string]Reach{}, deadSince: map[string]micros.T{},
 		pages: map[string]*pageState{}, fresh: map[string]*bookkeeping.Page{}, arrivals: map[string]*arrival{}, claimSeen: map[string]claimSeen{},
 		claiming: map[string]bool{}, jobBusy: map[string]bool{}, accepted: map[string]uint64{}, teamShort: map[string]shortage{},
 		jobState: map[string]*jobState{}, bias: map[string]float64{}, sightings: map[string]*sighting{},
@@ -171,6 +178,7 @@
 // tick drives everything that is not an answer to a message.
 func (c *Core) tick() {
 	now := c.now()
+	c.noteStill(now)
 	c.fast(now)
 	if now >= c.slowAt {
 		c.slow(now)
@@ -189,7 +197,7 @@
 func (c *Core) fast(now micros.T) {
 	c.keepLease(now)
 	c.keepWatch(now)
-	if !c.ready {
+	if !c.ready || c.outdated(now) {
 		return
 	}
 	if c.dirty && now >= c.turnAt {
@@ -204,7 +212,7 @@
 	if c.catalogAt == 0 || now-c.catalogAt > 60*micros.Second {
 		c.fetchCatalog()
 	}
-	if !c.ready {
+	if !c.ready || c.outdated(now) {
 		return
 	}
 	c.shareBudgets(len(c.live()))
@@ -230,6 +238,7 @@
 			delete(c.accepted, name)
 			return
 		}
+		c.jobNotes(name).sharedAt = c.now()
 	case bookkeeping.KindJob:
 		if j := c.view.jobs[name]; j != nil && j.held > 0 {
 			if n := c.jobNotes(name); n.overAt == 0 {
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -345,7 +345,7 @@
 		name := fmt.Sprintf("r-%d-%d", l.term, l.sequence)
 		key := bookkeeping.Key(bookkeeping.KindAsk, name)
 		rec := bookkeeping.Ask{Phase: bookkeeping.AskProvisioning, Type: e.Type, Zone: e.Zone, Spot: e.Spot, Count: 1,
-			Machines: []string{id}, Live: c.live(), At: c.env.Wall()}
+			Machines: []string{id}, Live: c.able(), At: c.env.Wall()}
 		c.log.Info("machine that nobody asked for", "machine", id, "type", e.Type, "zone", e.Zone)
 		c.leaderCommit(bookkeeping.RankRest, key, protocol.Txn{
 			If:   []protocol.Cond{{Key: key, Version: 0}},
@@ -377,9 +377,10 @@
 			}
 		case bookkeeping.AskProvisioning:
 			missing := c.missing(a)
+			able := c.able()
 			orphans := false
 			for _, id := range missing {
-				if !c.isLive(c.designated(a, id)) {
+				if !contains(able, c.designated(a, id)) {
 					orphans = true
 				}
 			}
@@ -398,10 +399,10 @@
 						c.log.Info("machines not ready in time, given back", "ask", name, "machines", len(missing), "type", a.rec.Type, "zone", a.rec.Zone)
 					}
 				})
-			case orphans && len(c.live()) > 0:
-				// Those who were to claim them have gone: name others.
+			case orphans && len(able) > 0:
+				// Those who were to claim them have gone, or can't: name others.
 				rec := a.rec
-				rec.Live, rec.Own = c.live(), nil
+				rec.Live, rec.Own = able, nil
 				c.leaderCommit(bookkeeping.RankPage, key, protocol.Txn{
 					If:   []protocol.Cond{{Key: key, Version: a.version}},
 					Then: []protocol.Op{{Put: key, Value: protocol.MustMarshal(&rec)}},
@@ -441,7 +442,7 @@
 		rec := a.rec
 		switch {
 		case r.Outcome == protocol.OK && len(r.Rented) > 0:
-			rec.Phase, rec.Machines, rec.Live = bookkeeping.AskProvisioning, r.Rented, c.live()
+			rec.Phase, rec.Machines, rec.Live = bookkeeping.AskProvisioning, r.Rented, c.able()
 			c.log.Info("machines rented", "ask", name, "type", rec.Type, "zone", rec.Zone, "spot", rec.Spot, "asked", rec.Count, "got", len(r.Rented))
 		case r.Outcome == protocol.OK, r.Outcome == protocol.NoCapacity:
 			rec.Phase = bookkeeping.AskUnmet
--- a/internal/coordination/membership.go
+++ b/internal/coordination/membership.go
@@ -11,8 +11,9 @@
 type Hint struct {
 	Node        string
 	Incarnation uint64
-	StoreOK     bool           // the sender reached the store lately
-	Users       int            // calls of users that wait there for the store
+	StoreOK     bool // the sender reached the store lately
+	Users       int  // calls of users that wait there for the store
+	Reach       Reach
 	Failing     map[string]int // jobs that fail there: on how many machines
 }
 
@@ -147,18 +148,19 @@
 	ok := !c.storeDown && now-c.storeOKAt < 1500*micros.Millisecond
 	failing := c.failing()
 	for _, p := range c.cfg.Known {
-		c.env.Peer(p.Node, Hint{Node: c.node, Incarnation: c.inc, StoreOK: ok, Users: c.queue.Waiting(bookkeeping.RankUser), Failing: failing})
+		c.env.Peer(p.Node, Hint{Node: c.node, Incarnation: c.inc, StoreOK: ok, Users: c.queue.Waiting(bookkeeping.RankUser), Reach: c.reach(), Failing: failing})
 	}
 }
 
 // OnHint takes a peer's word.
 func (c *Core) OnHint(h Hint) {
 	now := c.now()
+	c.noteStill(now)
 	c.peerSeen[h.Node] = now
 	if h.StoreOK {
 		c.peerOK[h.Node] = now
 	}
-	c.peerFails[h.Node] = h.Failing
+	c.peerFails[h.Node], c.peerReach[h.Node] = h.Failing, h.Reach
 	if h.Users > manyUsers {
 		c.peerUsers[h.Node] = now
 	}
--- a/internal/coordination/mirror.go
+++ b/internal/coordination/mirror.go
@@ -242,6 +242,7 @@
 	c.queue.Reads.Take(1)
 	c.env.Store(sc, func(r protocol.StoreResult) {
 		ended()
+		c.noteStill(c.now())
 		if view != c.view {
 			c.answerAskers(now, false)
 			return
@@ -249,7 +250,10 @@
 		switch r.Outcome {
 		case protocol.OK:
 			c.noteStore(r.Outcome)
-			c.watchOKAt = c.now()
+			c.freshAt, c.watchOKAt = max(c.freshAt, now), c.now()
+			if now < c.resumedAt {
+				c.watchOKAt = now // it waited here while we stood still
+			}
 			c.view.applyEvents(r.Events, r.Revision)
 			if !c.ready && c.view.watched >= c.loadedUpTo {
 				c.becomeReady()
--- a/internal/coordination/pages.go
+++ b/internal/coordination/pages.go
@@ -425,7 +425,7 @@
 		d.cond(key, from.version)
 		d.txn.Then = append(d.txn.Then, protocol.Op{Put: key, Value: raw})
 	}
-	c.moveShares(&d.txn, d.conds, from.rec.Owner, use)
+	c.moveShares(&d.txn, d.conds, from.rec.Owner, c.node, use)
 }
 
 // arrived tells those who wait for a machine's claim.
@@ -524,7 +524,7 @@
 	if c.storeDown || !c.leaseHeld(now) {
 		return
 	}
-	live := c.live()
+	live := c.able()
 	heirless := map[string][]*page{}
 	for _, name := range sortedKeys(c.view.pages) {
 		p := c.view.pages[name]
@@ -534,11 +534,8 @@
 	}
 	for _, owner := range sortedKeys(heirless) {
 		ps := heirless[owner]
-		most := c.cfg.Facts.State.TxnOps - 2 // beside two parts' shares
 		for len(ps) > 0 {
-			n := min(most, len(ps))
-			c.claim(owner, ps[:n])
-			ps = ps[n:]
+			ps = ps[c.claim(owner, ps):]
 			if owner != c.node {
 				break // one commit at a time, the shares must not conflict
 			}
@@ -559,29 +556,12 @@
 	return now-c.gone(owner, now) > micros.Second && home(p.name, live) == c.node
 }
 
-// claim takes over pages of one owner: a conditional write that raises the claim
-// number, so that tokens of any earlier owner are outranked.
-func (c *Core) claim(owner string, ps []*page) {
-	t := protocol.Txn{}
-	use := map[string]amount{}
+// claim takes over pages of one owner, as many as a commit takes.
+func (c *Core) claim(owner string, ps []*page) int {
+	t, n := c.passPages(ps, c.node, c.inc)
+	ps = ps[:n]
 	for _, p := range ps {
 		c.claiming[p.name] = true
-		rec := p.rec.Clone()
-		rec.Owner, rec.Incarnation = c.node, c.inc
-		for _, m := range rec.Machines {
-			rec.Claim = max(rec.Claim, m.Claim)
-		}
-		rec.Claim++
-		key := bookkeeping.Key(bookkeeping.KindPage, p.name)
-		raw, _ := rec.Encode()
-		t.If = append(t.If, protocol.Cond{Key: key, Version: p.version})
-		t.Then = append(t.Then, protocol.Op{Put: key, Value: raw})
-		for team, a := range p.use {
-			addUse(use, team, a, 1)
-		}
-	}
-	if owner != c.node {
-		c.moveShares(&t, map[string]bool{}, owner, use)
 	}
 	c.commit(bookkeeping.RankClaim, t, func(r protocol.StoreResult) {
 		machines := 0
@@ -599,4 +579,5 @@
 			c.log.Info("pages taken over", "from", owner, "pages", len(ps), "machines", machines)
 		}
 	})
+	return n
 }
--- /dev/null
+++ b/internal/coordination/reach.go
@@ -0,0 +1,222 @@
+package coordination
+
+import (
+	"pipitgap/internal/bookkeeping"
+	"pipitgap/internal/micros"
+	"pipitgap/internal/protocol"
+)
+
+// What a controller holds is worth something only while it reaches it. This file asks
+// of oneself: whom do I reach, and how old is what I know? A controller whose workers
+// have all fallen silent, while others hear theirs, hands its machines over and takes no
+// new ones; one that stood still believes nothing until it has asked again.
+
+// Reach is what a controller says of its workers.
+type Reach int
+
+// Degrees of it.
+const (
+	ReachUnknown Reach = iota // it has none that could tell
+	ReachHeard                // it hears most of its workers
+	ReachLost                 // they have all fallen silent, or nearly so
+)
+
+const (
+	stillFor   = 3 * micros.Second / 2 // a tick so late means that the process stood still
+	stillTrust = micros.Second / 2     // after that it waits so long for word from the store
+	probeEvery = 2 * micros.Second
+	mostCommit = 56 << 10 // bytes of a commit, as the state service counts them
+)
+
+// noteStill notes that the process stood still since the last tick, or whatever else
+// came, while its clocks ran. It is asked before anything that comes in is taken.
+func (c *Core) noteStill(now micros.T) {
+	if c.tickAt != 0 && now-c.tickAt > stillFor {
+		c.resumedAt = now
+		c.log.Info("controller stood still", "ms", (now - c.tickAt).Millis())
+	}
+	c.tickAt = now
+}
+
+// outdated tells whether we stood still and haven't heard from the store since: what we
+// hold may be others', and what comes in may have waited for long. In an outage the
+// wait is short, or the workers' leases would lapse.
+func (c *Core) outdated(now micros.T) bool {
+	return c.resumedAt > c.freshAt && now-c.resumedAt < stillTrust
+}
+
+// reach tells what we say of our workers.
+func (c *Core) reach() Reach {
+	switch {
+	case c.lostAt != 0:
+		return ReachLost
+	case c.heardMost:
+		return ReachHeard
+	}
+	return ReachUnknown
+}
+
+// noteReach judges from the silence of our machines whether it is we who are cut off
+// from them. Without a fresh mirror, or just after standing still, silence says nothing.
+func (c *Core) noteReach(all hearing, now micros.T) {
+	c.heardMost = all.machines > 0 && 2*all.silent < all.machines
+	switch {
+	case all.cut() && c.lostAt == 0:
+		c.lostAt = now
+		c.log.Info("own workers out of reach", "machines", all.machines, "silent", all.silent)
+	case c.lostAt != 0 && c.heardMost:
+		c.found(now)
+	}
+	if c.lostAt == 0 {
+		return
+	}
+	c.handOverPages(now)
+	c.probe(now)
+}
+
+func (c *Core) found(now micros.T) {
+	c.lostAt = 0
+	c.dirty = true
+	c.log.Info("workers are in reach again")
+}
+
+// probe asks some machine, whosever it is, whether we reach workers again. A report
+// that comes in wouldn't do: copies come late.
+func (c *Core) probe(now micros.T) {
+	if now < c.probeAt {
+		return
+	}
+	c.probeAt = now + probeEvery
+	ids := sortedKeys(c.view.machines)
+	if len(ids) == 0 {
+		c.found(now)
+		return
+	}
+	m := c.view.machines[ids[c.env.Rand().IntN(len(ids))]]
+	if m.rec == nil {
+		c.probeAt = now
+		return
+	}
+	since := c.lostAt
+	c.env.Command(m.rec.Endpoint, nil, showWithin, func(r protocol.DoResult) {
+		if r.Status == 200 && r.Report.Machine == m.id && c.lostAt == since && since != 0 {
+			c.found(c.now())
+		}
+	})
+}
+
+// cutOff tells whether a controller lives, but is known not to reach workers.
+func (c *Core) cutOff(node string, now micros.T) bool {
+	if node == c.node {
+		return c.lostAt != 0
+	}
+	return c.heard(node, now) && c.peerReach[node] == ReachLost
+}
+
+// able lists the live controllers that are good for machines and waiting tasks.
+func (c *Core) able() []string {
+	live, now := c.live(), c.now()
+	var out []string
+	for _, n := range live {
+		if !c.cutOff(n, now) {
+			out = append(out, n)
+		}
+	}
+	if len(out) == 0 {
+		return live
+	}
+	return out
+}
+
+// handOverPages gives our pages to controllers that say they hear their workers. Ours
+// turn to them when we don't answer; their claims one by one, each against our own
+// writes, took longer than the leases of most.
+func (c *Core) handOverPages(now micros.T) {
+	if c.partBusy || c.storeDown || !c.leaseHeld(now) || now-c.watchOKAt > watchBlock+micros.Second {
+		return
+	}
+	var to, others []string
+	alone := true
+	for _, n := range c.live() {
+		if n == c.node {
+			continue
+		}
+		others = append(others, n)
+		if c.heard(n, now) {
+			alone = false
+			if c.peerReach[n] == ReachHeard {
+				to = append(to, n)
+			}
+		}
+	}
+	if alone {
+		to = others // neither workers nor controllers: it is we who are cut off
+	}
+	if len(to) == 0 {
+		return // nobody hears any
+	}
+	heir := ""
+	var ps []*page
+	for _, name := range sortedKeys(c.view.pages) {
+		p := c.view.pages[name]
+		if s := c.pageNotes(name); !c.owns(p) || s.busyAt != 0 || len(s.floating) > 0 || c.view.watched < p.version {
+			continue
+		}
+		h := home(name, to)
+		if heir == "" {
+			heir = h
+		}
+		if h == heir {
+			ps = append(ps, p)
+		}
+	}
+	if len(ps) == 0 {
+		return
+	}
+	member := c.view.members[heir]
+	t, taken := c.passPages(ps, heir, member.rec.Incarnation)
+	t.If = append(t.If, protocol.Cond{Key: bookkeeping.Key(bookkeeping.KindMember, heir), Version: member.version})
+	c.partBusy = true
+	c.commit(bookkeeping.RankClaim, t, func(r protocol.StoreResult) {
+		c.partBusy = false
+		c.dirty = true
+		if r.Outcome == protocol.OK {
+			c.log.Info("pages handed over", "to", heir, "pages", taken)
+			c.handOverPages(c.now())
+		}
+	})
+}
+
+// passPages prepares the commit by which pages of one owner go to another: a
+// conditional write that raises their claim numbers, so that tokens of any earlier
+// owner are outranked, with the shares of the teams' limits that their attempts use.
+// As many pages as a commit takes go at once.
+func (c *Core) passPages(ps []*page, to string, incarnation uint64) (t protocol.Txn, taken int) {
+	use := map[string]amount{}
+	bytes := 0
+	from := ps[0].rec.Owner
+	for _, p := range ps {
+		rec := p.rec.Clone()
+		rec.Owner, rec.Incarnation = to, incarnation
+		for _, m := range rec.Machines {
+			rec.Claim = max(rec.Claim, m.Claim)
+		}
+		rec.Claim++
+		raw, size := rec.Encode()
+		if taken > 0 && (bytes+size > mostCommit || taken >= c.cfg.Facts.State.TxnOps-2) {
+			break // two parts' shares follow
+		}
+		bytes += size
+		taken++
+		key := bookkeeping.Key(bookkeeping.KindPage, p.name)
+		t.If = append(t.If, protocol.Cond{Key: key, Version: p.version})
+		t.Then = append(t.Then, protocol.Op{Put: key, Value: raw})
+		for team, a := range p.use {
+			addUse(use, team, a, 1)
+		}
+	}
+	if from != to {
+		c.moveShares(&t, map[string]bool{}, from, to, use)
+	}
+	return t, taken
+}
--- a/internal/coordination/rooms.go
+++ b/internal/coordination/rooms.go
@@ -57,7 +57,7 @@
 		func(n string) int { return p.room(s, n) },
 		func(n string) int { return p.victims(s, n, false) },
 	} {
-		for _, n := range append([]string{c.node}, c.live()...) {
+		for _, n := range append([]string{c.node}, c.able()...) {
 			if r := score(n); r > most {
 				best, most = n, r
 			}
--- a/internal/coordination/shares.go
+++ b/internal/coordination/shares.go
@@ -15,6 +15,7 @@
 	leastShare = 24                // tasks
 	mostShares = 40                // of one job; what a value holds
 	ownerGrace = 3 * micros.Second // an owner that seems to have room gets so long to use it
+	takerGrace = 1 * micros.Second // and one that has just taken tasks over: they went round without a start
 )
 
 // ---- which part places which tasks ----
@@ -24,7 +25,7 @@
 // is so spread over all of them, and what binds stays in its own record.
 func (c *Core) split(spec *bookkeeping.Spec) []bookkeeping.Share {
 	n := spec.Tasks
-	live := c.live()
+	live := c.able()
 	if n == 1 || spec.OneZone || spec.Spread || len(live) == 0 {
 		return []bookkeeping.Share{{First: 0, End: n, Part: c.roomiest(spec)}}
 	}
@@ -131,11 +132,12 @@
 	return c.now() + micros.FromSeconds(float64(c.liveShare)/(part*c.cfg.Facts.State.WriteRPS))
 }
 
-// adoptOrphans takes over the waiting tasks of parts that have gone. Each job has
+// adoptOrphans takes over the waiting tasks of parts that have gone, or don't reach
+// their machines. Each job has
 // one heir for that, whether it has room for them or not: only their owner makes
 // room for services by stopping others' work, or rents for nobody else to place.
 func (c *Core) adoptOrphans(jobs []*job, now micros.T) {
-	live := c.live()
+	live := c.able()
 	for _, j := range jobs {
 		if now < c.orphanAt {
 			return
@@ -145,7 +147,7 @@
 		}
 		shares := j.rec.Shares
 		for _, s := range j.rec.Shares {
-			if !c.isLive(s.Part) && now-c.gone(s.Part, now) > micros.Second {
+			if !c.isLive(s.Part) && now-c.gone(s.Part, now) > micros.Second || c.cutOff(s.Part, now) {
 				shares = bookkeeping.Reshare(shares, s.First, s.End, c.node)
 			}
 		}
@@ -241,7 +243,8 @@
 	whole := spec.OneZone || spec.Spread
 	for k := len(j.rec.Shares) - 1; k >= 0; k-- {
 		s := j.rec.Shares[k]
-		if s.Part == c.node || wall-j.rec.At < int64(ownerGrace) && c.isLive(s.Part) && rooms.room(spec, s.Part) > 0 {
+		if s.Part == c.node || c.isLive(s.Part) && rooms.room(spec, s.Part) > 0 &&
+			(wall-j.rec.At < int64(ownerGrace) || c.now()-c.jobNotes(j.id).sharedAt < takerGrace) {
 			continue
 		}
 		n, first := 0, s.End
@@ -456,13 +459,13 @@
 }
 
 // moveShares has the shares of the teams' limits follow attempts that go over
-// from another part's pages into ours.
-func (c *Core) moveShares(t *protocol.Txn, conds map[string]bool, from string, use map[string]amount) {
-	theirs, mine := c.view.parts[from], c.view.parts[c.node]
+// from one part's pages into another's.
+func (c *Core) moveShares(t *protocol.Txn, conds map[string]bool, from, to string, use map[string]amount) {
+	theirs, mine := c.view.parts[from], c.view.parts[to]
 	if theirs == nil {
 		return // it never had any: none of its teams has a limit
 	}
-	keys := []string{bookkeeping.Key(bookkeeping.KindPart, from), bookkeeping.Key(bookkeeping.KindPart, c.node)}
+	keys := []string{bookkeeping.Key(bookkeeping.KindPart, from), bookkeeping.Key(bookkeeping.KindPart, to)}
 	next := []bookkeeping.Part{{Shares: map[string]bookkeeping.Amount{}}, {Shares: map[string]bookkeeping.Amount{}}}
 	for i, p := range []*partView{theirs, mine} {
 		if p != nil {
--- a/internal/coordination/store.go
+++ b/internal/coordination/store.go
@@ -151,6 +151,23 @@
 	return true
 }
 
+// forsaken tells whether a worker of ours is to look for another controller: we reach
+// neither the store nor any other, and our membership has ended for so long that
+// whoever does has taken our machines over. One that has been round and comes back
+// within its lease has found nobody: it is we who are left, or its zone is cut off with
+// us, and it is answered as before.
+func (c *Core) forsaken(w *worker, now micros.T) bool {
+	if !c.isolated(now) || now-c.leaseSent < c.leaseTTL+takenOver {
+		return false
+	}
+	back := w.sentOff != 0 && now-w.sentOff < micros.FromSeconds(c.cfg.Facts.Workers.LeaseS)
+	w.sentOff = max(now, 1)
+	return !back
+}
+
+// takenOver is how long after a membership ends its machines have other owners.
+const takenOver = 3 * micros.Second
+
 // mustLapse tells whether we must let our workers' leases end. Cut off together
 // with its workers, a controller sees no cancellation, and every answer that it
 // gives keeps cancelled tasks running; the other controllers can't reach them. So
--- a/internal/coordination/tending.go
+++ b/internal/coordination/tending.go
@@ -32,13 +32,13 @@
 	// Not so one that we have claimed but not heard yet: it may still be looking for
 	// us. It has until its lease must have ended.
 	ours, quiet := 0, 0
-	zones := map[string]*hearing{}
+	zones, all := map[string]*hearing{}, hearing{}
 	for _, m := range c.view.machines {
 		if m.w == nil || m.rec == nil {
 			continue
 		}
 		ours++
-		away := now-m.w.aliveAt > 2*report
+		away := now-max(m.w.aliveAt, c.resumedAt) > 2*report
 		if away {
 			quiet++
 		}
@@ -48,6 +48,10 @@
 			zones[m.rec.Zone] = z
 		}
 		z.count(away, m.w.session == 0)
+		all.count(away, m.w.session == 0)
+	}
+	if now-c.resumedAt > patience || c.resumedAt == 0 {
+		c.noteReach(all, now)
 	}
 	quiet = max(quiet, 1) - 1 // one alone may always be the one
 	for zone, z := range zones {
@@ -62,7 +66,7 @@
 		if w == nil || m.rec == nil {
 			continue
 		}
-		silent := now - w.aliveAt
+		silent := now - max(w.aliveAt, c.resumedAt) // while we stood still nobody could be heard
 		if !w.lost && w.acked && now-max(w.answeredAt, w.sessionAt) > proof {
 			w.lost, w.acked = true, false
 			lost++
@@ -86,7 +90,10 @@
 		// so where services are: a deletion lets them start elsewhere.
 		at, cut := c.zoneCut[m.rec.Zone]
 		cut = cut && now-at < lease && !c.holdsService(m)
-		giveUp, overdue := proof+2*report, micros.T(0)
+		// Cancelled tasks there must be gone in time. Until then its lease may end, or
+		// another controller reach it: a machine with all its tasks for one that was
+		// cancelled a moment before the trouble is dear.
+		giveUp, overdue := proof+2*report, micros.FromSeconds(0.5*c.cfg.Facts.Workers.CancelS)
 		if cut {
 			giveUp, overdue = 3*proof, micros.FromSeconds(0.75*c.cfg.Facts.Workers.CancelS)
 		}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -43,6 +43,7 @@
 // OnRequest answers a request of a user or a worker. The answer may come later,
 // but never because it is held back: only as long as the store takes.
 func (c *Core) OnRequest(method, target string, body []byte, answer func(Reply)) {
+	c.noteStill(c.now())
 	path, query, _ := strings.Cut(target, "?")
 	if query != "" && path != "/healthz" {
 		answer(errorReply(400, "no parameters are known here"))
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -46,6 +46,7 @@
 	answeredAt             micros.T // when we last answered one: its lease may run from there
 	sessionAt              micros.T // when we learned of its session: that may have begun then
 	aliveAt                micros.T // when it last showed that our answers reach it
+	sentOff                micros.T // when it was last told to look for another controller, see forsaken
 	asked                  uint64   // the token that it must show for that
 	answered               uint64   // the token of our last answer
 	misses                 int      // check-ins in a row without it
