--- a/internal/coordination/reach_test.go
+++ b/internal/coordination/reach_test.go
@@ -112,8 +112,27 @@
 				c.store.Refused[node] = true
 			}
 			if tc.within > 0 {
-				if !c.sim.RunUntil(tc.within, func() bool { return c.owned(node) == 0 }) {
-					t.Errorf("it still has %d machines", c.owned(node))
+				c.sim.Run(tc.within)
+				if n := c.owned(node); n > 0 {
+					t.Errorf("it still has %d machines", n)
+				}
+				unheard := 0
+				for _, n := range c.names {
+					for _, m := range c.nodes[n].core.view.machines {
+						if n != node && m.w != nil && !m.w.acked {
+							unheard++
+						}
+					}
+				}
+				if unheard > 0 {
+					t.Errorf("%d machines have not come to their new owners", unheard)
+				}
+			}
+			if tc.workers && !tc.peers {
+				for _, n := range c.names {
+					if contains(c.nodes[n].core.able(), node) {
+						t.Errorf("%s would give it machines and tasks", n)
+					}
 				}
 			}
 			array := c.submit(3*sec, jobOf{"pips": 30, "cores": 2.0})
