Crowds of small jobs go last while changes are short; huge arrays leave page bytes to others

Ruled out: room (a fifth of the CPUs was free) and processor time (0.07 of a core). Submissions and ends of a team's crowd have a rank of their own, after two pages each, and few places; the rest is told at once when to come back.

--- a/internal/bookkeeping/bookkeeping_test.go
+++ b/internal/bookkeeping/bookkeeping_test.go
@@ -179,11 +179,25 @@
 	if got, _ = drain(4 * micros.Second); !reflect.DeepEqual(got, []Rank{RankUser, RankPage, RankUser, RankPage}) {
 		t.Fatalf("%v", got)
 	}
+	// A guest's call waits for all others, but among pages it has its turn.
+	since = 4 * micros.Second
+	for i := 0; i < 6; i++ {
+		add(RankGuest, 0)
+		add(RankPage, 0)
+	}
+	add(RankUser, 0)
+	if got, _ = drain(60 * micros.Second); !reflect.DeepEqual(got, []Rank{RankUser, RankGuest, RankPage, RankPage}) {
+		t.Fatalf("%v", got)
+	}
+	if got, _ = drain(61 * micros.Second); !reflect.DeepEqual(got, []Rank{RankGuest, RankPage, RankPage, RankGuest}) {
+		t.Fatalf("%v", got)
+	}
+	drain(62 * micros.Second)
 	// What was throttled goes again before the others of its rank, after a pause.
 	add(RankUser, 1)
-	c, _, _ := q.Next(5 * micros.Second)
-	q.Back(c, 5*micros.Second)
-	if _, ok, wait := q.Next(5 * micros.Second); ok || wait <= 0 {
+	c, _, _ := q.Next(70 * micros.Second)
+	q.Back(c, 70*micros.Second)
+	if _, ok, wait := q.Next(70 * micros.Second); ok || wait <= 0 {
 		t.Error("no pause after a 429")
 	}
 }
--- a/internal/bookkeeping/queue.go
+++ b/internal/bookkeeping/queue.go
@@ -52,6 +52,7 @@
 	RankUser
 	RankPage
 	RankRest
+	RankGuest // what many small jobs of one team would otherwise crowd the rest out with
 	ranks
 )
 
@@ -61,6 +62,10 @@
 // controller that was left waiting for five seconds.
 const pageWaits = 300 * micros.Millisecond
 
+// guestTurns is how many pages go before a guest's call while both wait: it must not
+// wait for ever either, but tasks that start and end come first.
+const guestTurns = 2
+
 // Call waits in the queue.
 type Call struct {
 	*protocol.StoreCall
@@ -77,6 +82,7 @@
 	MaxInFlight   int
 	pausedUntil   micros.T
 	userTurn      bool // of users and pages, a user's call went last
+	pageTurns     int  // pages written since a guest's call went
 	waiting       [ranks][]Call
 }
 
@@ -94,6 +100,14 @@
 // Waiting counts the calls of a rank.
 func (q *Queue) Waiting(r Rank) int { return len(q.waiting[r]) }
 
+// Age tells how long the first call of a rank has waited.
+func (q *Queue) Age(r Rank, now micros.T) micros.T {
+	if len(q.waiting[r]) == 0 {
+		return 0
+	}
+	return now - q.waiting[r][0].Since
+}
+
 // Next gives a call that may be made now, or how long to wait for one (0 with
 // no call: nothing waits, or too much is in flight). Lease touches go into
 // debt rather than wait: the service must not lose its membership to its load.
@@ -103,6 +117,9 @@
 			(q.userTurn || len(q.waiting[RankUser]) == 0) {
 			r = int(RankPage)
 		}
+		if Rank(r) == RankPage && q.pageTurns >= guestTurns && len(q.waiting[RankGuest]) > 0 {
+			r = int(RankGuest)
+		}
 		if len(q.waiting[r]) == 0 {
 			continue
 		}
@@ -120,8 +137,14 @@
 		q.Reads.Take(1)
 		q.Writes.Take(float64(c.Writes()))
 		q.InFlight++
-		if Rank(r) == RankUser || Rank(r) == RankPage {
-			q.userTurn = Rank(r) == RankUser
+		switch Rank(r) {
+		case RankUser:
+			q.userTurn = true
+		case RankPage:
+			q.userTurn = false
+			q.pageTurns++
+		case RankGuest:
+			q.pageTurns = 0
 		}
 		return c, true, 0
 	}
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -109,10 +109,11 @@
 	turnAt     micros.T
 	served     float64 // CPUs that all services hold
 	orphanAt   micros.T
-	turnJobs   map[string]bool // jobs with tasks assigned by the turn under way
-	takeAt     micros.T        // when tasks may change their part again
-	ownAt      micros.T        // when a machine's claimant may be changed again
-	dirty      bool            // a turn may find something to do
+	turnJobs   map[string]bool   // jobs with tasks assigned by the turn under way
+	takeAt     micros.T          // when tasks may change their part again
+	ownAt      micros.T          // when a machine's claimant may be changed again
+	dirty      bool              // a turn may find something to do
+	crowds     map[string]*crowd // by team, its submissions of late
 	arrivals   map[string]*arrival
 	claimSeen  map[string]claimSeen
 	claiming   map[string]bool // pages being taken over
@@ -142,7 +143,7 @@
 		cfg: cfg, set: set, env: env, log: log, node: cfg.Node,
 		inc:    env.Rand().Uint64()>>16 | 1,
 		peerOK: map[string]micros.T{}, peerSeen: map[string]micros.T{}, peerUsers: map[string]micros.T{}, peerFails: map[string]map[string]int{}, peerReach: map[string]Reach{}, deadSince: map[string]micros.T{},
-		pages: map[string]*pageState{}, fresh: map[string]*bookkeeping.Page{}, arrivals: map[string]*arrival{}, claimSeen: map[string]claimSeen{},
+		pages: map[string]*pageState{}, fresh: map[string]*bookkeeping.Page{}, crowds: map[string]*crowd{}, arrivals: map[string]*arrival{}, claimSeen: map[string]claimSeen{},
 		claiming: map[string]bool{}, jobBusy: map[string]bool{}, accepted: map[string]uint64{}, teamShort: map[string]shortage{},
 		jobState: map[string]*jobState{}, bias: map[string]float64{}, sightings: map[string]*sighting{},
 		preempting: map[string]*preemption{}, givenBack: map[string][]string{}, zoneCut: map[string]micros.T{}, emptyAt: map[string]micros.T{}, closedAt: map[string]micros.T{},
--- /dev/null
+++ b/internal/coordination/guests.go
@@ -0,0 +1,81 @@
+package coordination
+
+import (
+	"math"
+
+	"pipitgap/internal/bookkeeping"
+	"pipitgap/internal/micros"
+	"pipitgap/internal/protocol"
+)
+
+// Each small job costs as many changes as a large one. A team that sends them as fast
+// as its users can would have most of the store's changes, and the others' jobs would
+// neither be accepted nor placed. So what crowds goes last, with places of its own in
+// the queue, and is what gets 429.
+const (
+	crowdMemory = 10 * micros.Second // submissions that long ago count a third
+	crowdLeast  = 8                  // and so many that count make a crowd, if they are
+	crowdPart   = 0.6                // more than this part of all, or of the lowest priority
+	pagesLate   = 300 * micros.Millisecond
+)
+
+// crowd counts a team's submissions of jobs that may wait.
+type crowd struct {
+	count float64
+	at    micros.T
+}
+
+func (a *crowd) now(now micros.T) float64 {
+	if now > a.at {
+		a.count *= math.Exp(-(now - a.at).Seconds() / crowdMemory.Seconds())
+		a.at = now
+	}
+	return a.count
+}
+
+// guest tells whether a submission is to go after the others while changes are short:
+// one of many that a team has sent lately, of the lowest priority, or while other teams
+// send theirs too.
+func (c *Core) guest(s *bookkeeping.Spec) bool {
+	if s.Priority > int(protocol.Standard) || !c.contended() {
+		return false
+	}
+	now := c.now()
+	mine, all := 0.0, 0.0
+	for team, a := range c.crowds {
+		n := a.now(now)
+		all += n
+		if team == s.Team {
+			mine = n
+		}
+	}
+	return mine >= crowdLeast && (s.Priority == int(protocol.BestEffort) || mine < all-1 && mine > crowdPart*all)
+}
+
+// guestPlaces is how many calls of guests may wait.
+func (c *Core) guestPlaces() int { return max(2, c.mostUserCalls()/4) }
+
+// contended tells whether the store's changes are short: users wait, or pages, with all
+// that starts and ends, have waited for longer than a burst takes.
+func (c *Core) contended() bool {
+	return c.usersWait() || c.queue.Age(bookkeeping.RankPage, c.now()) > pagesLate || c.queue.Waiting(bookkeeping.RankGuest) > 0
+}
+
+// counted notes a submission for its team.
+func (c *Core) counted(s *bookkeeping.Spec) {
+	a := c.crowds[s.Team]
+	if a == nil {
+		a = &crowd{}
+		c.crowds[s.Team] = a
+	}
+	a.now(c.now())
+	a.count++
+}
+
+// rankOf tells in which rank changes of a job's record go.
+func (c *Core) rankOf(s *bookkeeping.Spec, otherwise bookkeeping.Rank) bookkeeping.Rank {
+	if c.guest(s) {
+		return bookkeeping.RankGuest
+	}
+	return otherwise
+}
--- /dev/null
+++ b/internal/coordination/guests_test.go
@@ -0,0 +1,298 @@
+package coordination
+
+import (
+	"testing"
+
+	"pipitgap/internal/bookkeeping"
+	"pipitgap/internal/config"
+	"pipitgap/internal/micros"
+	"pipitgap/internal/protocol"
+	"pipitgap/internal/standin"
+)
+
+// TestGuest: whose submissions go after the others'.
+func TestGuest(t *testing.T) {
+	for _, tc := range []struct {
+		name      string
+		sent      map[string]int
+		priority  protocol.Priority
+		contended bool
+		want      bool
+	}{
+		{"a few", map[string]int{"guest": 5}, protocol.BestEffort, true, false},
+		{"many of the lowest priority", map[string]int{"guest": 50}, protocol.BestEffort, true, true},
+		{"while there are changes for all", map[string]int{"guest": 50}, protocol.BestEffort, false, false},
+		{"most of all", map[string]int{"guest": 50, "home": 10}, protocol.Standard, true, true},
+		{"no more than others", map[string]int{"guest": 50, "home": 50}, protocol.Standard, true, false},
+		{"nobody else", map[string]int{"guest": 50}, protocol.Standard, true, false},
+		{"services that come in a burst", map[string]int{"guest": 50, "home": 10}, protocol.High, true, false},
+	} {
+		core := newCluster(t, 1).steady().nodes["n-0"].core
+		for team, n := range tc.sent {
+			for i := 0; i < n; i++ {
+				core.counted(&bookkeeping.Spec{Team: team})
+			}
+		}
+		if tc.contended {
+			core.queue.Add(bookkeeping.Call{StoreCall: &protocol.StoreCall{}, Rank: bookkeeping.RankPage, Since: core.now() - sec})
+		}
+		if got := core.guest(&bookkeeping.Spec{Team: "guest", Priority: int(tc.priority)}); got != tc.want {
+			t.Errorf("%s: %v", tc.name, got)
+		}
+	}
+}
+
+// guested is a cluster with a team at home and a guest, and machines that are up.
+func guested(t *testing.T, seed uint64, facts func(*config.Config)) (c *cluster) {
+	c = newCluster(t, seed)
+	c.facts = facts
+	c.teams = []config.Team{{Name: "home", CPUs: 100, CPUsMax: 400}, {Name: "guest"}}
+	clear(c.cloud.Capacity)
+	for _, z := range []string{"a", "b"} {
+		c.cloud.Capacity[standin.Offer("m16", z, false)] = 10
+		c.cloud.Capacity[standin.Offer("m16", z, true)] = 10
+	}
+	c.steady()
+	keep := c.submit(0, jobOf{"crew": "home", "shape": "daemon", "rank": "high", "pips": 60, "cores": 3.0})
+	if !c.sim.RunUntil(60*sec, func() bool { return c.fleet.Running(keep) == 60 }) {
+		t.Fatal("the service isn't up")
+	}
+	return c
+}
+
+// TestSwarm: a guest sends tiny jobs several times as fast as the store takes them; of
+// the others' submissions none waits for long, their services start, and what the
+// guest is refused it is told at once, with when to come back; half of its jobs and more
+// are served all the same. Without ranks of their own they had most of all changes.
+func TestSwarm(t *testing.T) {
+	c := guested(t, 2000, nil)
+	changes := c.store.Changes
+	accepted := map[string]micros.T{}
+	c.accepted = func(id string) { accepted[id] = c.sim.Now() }
+	sentAt := map[string]micros.T{}
+	var guests, services []string
+	refused, silent := 0, 0
+	const seconds = 40
+	for s := 0; s < seconds; s++ {
+		for i := 0; i < 30; i++ {
+			id := c.send(2*sec, jobOf{"crew": "guest", "rank": "best_effort", "cores": 0.25, "memory_gb": 0.5, "borrowed": true, "guess_s": 2.0})
+			guests = append(guests, id)
+		}
+		id := c.send(0, jobOf{"crew": "home", "shape": "daemon", "rank": "high", "cores": 1.0})
+		services, sentAt[id] = append(services, id), c.sim.Now()
+		_, j := c.spec(jobOf{"crew": "guest", "rank": "best_effort", "cores": 0.25})
+		begun := c.sim.Now()
+		c.request(c.names[s%3], "POST", "/v2/runs", protocol.MustMarshal(j), func(r Reply) {
+			if r.Status == 429 {
+				refused++
+				if r.RetryAfter == 0 || c.sim.Now() != begun {
+					silent++
+				}
+			}
+		})
+		c.sim.Run(sec)
+	}
+	late, started := 0, 0
+	for _, id := range services {
+		if at, ok := accepted[id]; !ok || at-sentAt[id] > 1500*micros.Millisecond {
+			late++
+		}
+		started += c.fleet.Running(id)
+	}
+	served := 0
+	for _, id := range guests {
+		if accepted[id] > 0 {
+			served++
+		}
+	}
+	t.Logf("of %d services %d accepted late, %d run; of %d guests %d accepted; %d refused; %d changes", len(services), late, started, len(guests), served, refused, c.store.Changes-changes)
+	if late > len(services)/10 || started < len(services)*8/10 {
+		t.Errorf("of %d services %d were accepted late, %d run", len(services), late, started)
+	}
+	if served < 100 {
+		t.Errorf("%d jobs of guests accepted", served)
+	}
+	if refused == 0 || silent > 0 {
+		t.Errorf("%d refused, %d of them late or not told when to come back", refused, silent)
+	}
+	if n := c.store.Changes - changes; n > (seconds+1)*50 {
+		t.Errorf("%d changes", n)
+	}
+	c.rules()
+}
+
+// TestHugeArray: 25,000 tasks of a quarter of a CPU for a few seconds beside another
+// team's services, which start as if it weren't there; counted are the changes that a
+// task costs, and the largest value, report and answer.
+func TestHugeArray(t *testing.T) {
+	for _, tc := range []struct {
+		name        string
+		kb          float64
+		done, waits int
+	}{
+		{"4 KiB a value", 4, 8000, 4},
+		{"1 KiB: bytes of the pages are short", 1, 4000, 4},
+	} {
+		t.Run(tc.name, func(t *testing.T) { hugeArray(t, tc.kb, tc.done, tc.waits) })
+	}
+}
+
+func hugeArray(t *testing.T, kb float64, least, most int) {
+	c := guested(t, 2100, func(cfg *config.Config) { cfg.Facts.State.ValueKB = kb })
+	largest := 0
+	c.copies = func(_ *standin.Worker, _ string, body []byte) { largest = max(largest, len(body)) }
+	sweep := c.submit(4*sec, jobOf{"crew": "guest", "rank": "best_effort", "pips": 25000, "cores": 0.25, "memory_gb": 0.45, "borrowed": true, "guess_s": 4.0})
+	changes, requests := c.store.Changes, 0
+	for _, n := range c.store.Calls {
+		requests -= n
+	}
+	value, waits := 0, 0
+	for s := 0; s < 100; s++ {
+		if s%5 == 0 {
+			id := c.send(0, jobOf{"crew": "home", "shape": "daemon", "rank": "high", "cores": 1.0})
+			c.sim.After(4*sec, func() {
+				if c.fleet.Running(id) == 0 {
+					waits++
+				}
+			})
+		}
+		c.sim.Run(sec)
+		for _, k := range c.store.Keys(bookkeeping.Root) {
+			value = max(value, c.store.Size(k))
+		}
+	}
+	for _, n := range c.store.Calls {
+		requests += n
+	}
+	done := 0
+	for task := range c.fleet.Finished {
+		if jobOfTask(task) == sweep {
+			done++
+		}
+	}
+	changes = c.store.Changes - changes
+	t.Logf("%d tasks done, %d changes, %d requests; largest value %d, report %d, answer %d; %d services waited", done, changes, requests, value, largest, c.largest, waits)
+	for _, tc := range []struct {
+		what           string
+		n, least, most int
+	}{
+		{"tasks done", done, least, 25000},
+		{"changes", changes, 1, done / 2},
+		{"requests", requests, 1, 100 * 150},
+		{"largest value", value, 1, int(kb * 1024)},
+		{"largest report", largest, 1, 64 << 10},
+		{"largest answer", c.largest, 1, 64 << 10},
+		{"services that waited for four seconds", waits, 0, most},
+	} {
+		if tc.n < tc.least || tc.n > tc.most {
+			t.Errorf("%s: %d, want %d to %d", tc.what, tc.n, tc.least, tc.most)
+		}
+	}
+	r := c.ask("n-0", "POST", "/v2/runs/"+sweep+"/abort", nil)
+	if r.Status != 200 {
+		t.Errorf("cancelling it: %d", r.Status)
+	}
+	c.fleet.Gone[sweep] = c.sim.Now() + 32*sec
+	c.sim.Run(35 * sec)
+	if n := c.fleet.Running(sweep); n > 0 {
+		t.Errorf("%d of its tasks still run", n)
+	}
+	c.rules()
+}
+
+// TestPollStorm: users ask a few hundred times a second, one controller is down: every
+// question is answered at once or told when to come back, jobs that are over cost the
+// store nothing, the others a few watches; submissions and leases have their turn.
+func TestPollStorm(t *testing.T) {
+	c := guested(t, 2200, nil)
+	var open, over []string
+	for i := 0; i < 10; i++ {
+		over = append(over, c.submit(sec, jobOf{"crew": "home", "cores": 0.5}))
+		open = append(open, c.submit(300*sec, jobOf{"crew": "home", "cores": 0.5}))
+	}
+	for _, id := range over {
+		c.finished(id, 30*sec)
+	}
+	c.refuse = true
+	c.kill("n-2")
+	c.sim.Run(10 * sec)
+	sessions := map[string]uint64{}
+	for id, w := range c.fleet.Workers {
+		sessions[id] = w.Session
+	}
+	storm := func(ids []string) (requests, answered, late int) {
+		for _, n := range c.store.Calls {
+			requests -= n
+		}
+		for s := 0; s < 100; s++ {
+			for i := 0; i < 80; i++ {
+				begun := c.sim.Now()
+				c.request(c.names[i%2], "GET", "/v2/runs/"+ids[i%len(ids)], nil, func(r Reply) {
+					switch {
+					case r.Status == 200 || r.Status == 429 && r.RetryAfter > 0:
+						answered++
+						if c.sim.Now()-begun > sec {
+							late++
+						}
+					default:
+						t.Errorf("answered %d", r.Status)
+					}
+				})
+			}
+			c.sim.Run(100 * micros.Millisecond)
+		}
+		c.sim.Run(sec)
+		for _, n := range c.store.Calls {
+			requests += n
+		}
+		return requests, answered, late
+	}
+	calm, _, _ := storm(over)
+	id := c.send(sec, jobOf{"crew": "home", "cores": 0.5})
+	taken := micros.T(0)
+	c.accepted = func(got string) {
+		if got == id {
+			taken = c.sim.Now()
+		}
+	}
+	begun := c.sim.Now()
+	requests, answered, late := storm(open)
+	t.Logf("%d questions, %d answered, %d late; %d requests, %d for jobs that are over", 8000, answered, late, requests, calm)
+	if answered < 8000 || late > 0 {
+		t.Errorf("%d answered, %d late", answered, late)
+	}
+	if requests > calm+11*60 {
+		t.Errorf("%d requests of the store, %d without", requests, calm)
+	}
+	if taken == 0 || taken-begun > 3*sec {
+		t.Errorf("a submission was accepted after %v s", (taken - begun).Seconds())
+	}
+	for id, w := range c.fleet.Workers {
+		if !w.Machine.Gone && w.Session != sessions[id] {
+			t.Errorf("%s lost its lease", id)
+		}
+	}
+	c.rules()
+}
+
+// TestPageBytes: past four fifths of a page's bytes no more tasks of the lowest priority
+// go to its machines, however much room they have, so that others' find some.
+func TestPageBytes(t *testing.T) {
+	core := newCluster(t, 2300).steady().nodes["n-0"].core
+	for _, tc := range []struct {
+		part    float64 // of what a page is filled to
+		guest   bool
+		service bool
+	}{{0.5, true, true}, {0.9, false, true}, {1, false, false}} {
+		d := newDraft("n-0.1", nil, &bookkeeping.Page{Jobs: map[string]*bookkeeping.PageJob{}})
+		d.bound = int(tc.part * float64(core.pageLimit()))
+		cands := []*candidate{{m: &machine{id: "i-1", images: map[string]bool{}}, rec: &bookkeeping.PageMachine{Type: "m8", Zone: "a"}, d: d, free: amount{cpus: 8, mem: 64}}}
+		for _, service := range []bool{false, true} {
+			j := &job{id: "j-900000", need: amount{cpus: 0.25}, state: make([]uint8, 1),
+				rec: bookkeeping.OpenJob{Spec: bookkeeping.Spec{Tasks: 1, CPUs: 0.25, Service: service, Priority: int(protocol.BestEffort)}}}
+			if got := core.choose(j, cands, newZoneRule(core.view, j), nil, nil, false, false, false) != nil; got != map[bool]bool{false: tc.guest, true: tc.service}[service] {
+				t.Errorf("page filled to %v, service %v: %v", tc.part, service, got)
+			}
+		}
+	}
+}
--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -21,7 +21,7 @@
 	id := j.id
 	c.jobBusy[id] = true
 	openKey, jobKey := bookkeeping.Key(bookkeeping.KindOpen, id), bookkeeping.Key(bookkeeping.KindJob, id)
-	c.commit(bookkeeping.RankPage, protocol.Txn{
+	c.commit(c.rankOf(&j.rec.Spec, bookkeeping.RankPage), protocol.Txn{
 		If: []protocol.Cond{{Key: jobKey}},
 		Then: []protocol.Op{
 			{Put: jobKey, Value: protocol.MustMarshal(&bookkeeping.Answer{Status: bookkeeping.Done})},
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -126,7 +126,7 @@
 			}
 			continue
 		}
-		limit, _ := c.team(spec.Team)
+		team, _ := c.team(spec.Team)
 		room, ok := left[spec.Team]
 		if !ok {
 			room = c.shareLeft(spec.Team)
@@ -149,6 +149,9 @@
 		var only *draft // a fenced job's tasks go out by one commit at a time
 		var cd *candidate
 		var near *draft // the page that the job's last tasks went to
+		var lastOn *machine
+		lastTask := 0
+		limit := c.pageShare(spec)
 	shares:
 		for _, s := range j.rec.Shares {
 			if s.Part != c.node {
@@ -171,7 +174,7 @@
 				// What a page's own attempts give back can be used by the same write.
 				again := !j.need.fits(room)
 				if cd == nil || again && !j.need.fits(cd.d.given[spec.Team]) || spec.Service || !j.need.fits(cd.free) || !zones.ok(cd.rec.Zone) || cd.tasks >= mostOnMachine ||
-					cd.d.bound+2*bookkeeping.TaskBound(i) > c.pageLimit() {
+					cd.d.bound+2*bookkeeping.TaskBound(i) > limit {
 					cd = c.choose(j, cands, zones, only, near, sample, again, idle)
 				}
 				if cd == nil {
@@ -195,10 +198,15 @@
 					d.cond(bookkeeping.Key(bookkeeping.KindOpen, j.id), j.version)
 					d.cond(bookkeeping.Key(bookkeeping.KindJob, j.id), 0)
 				}
-				if limit.limited() {
+				if team.limited() {
 					d.cond(partKey, c.view.versionOf(partKey))
 				}
-				d.bound += 2*bookkeeping.TaskBound(i) + 12
+				if lastOn == cd.m && lastTask == i-1 {
+					d.bound += bookkeeping.TaskBound(i) + 1 // it joins the range before
+				} else {
+					d.bound += 2*bookkeeping.TaskBound(i) + 12
+				}
+				lastOn, lastTask = cd.m, i
 				d.changed = true
 				c.turnJobs[j.id] = true
 				d.next.Assign(j.id, bookkeeping.Held{Task: i, Machine: cd.m.id, Attempt: c.view.newest})
@@ -214,7 +222,7 @@
 					cd.served += j.need.cpus
 				}
 				cd.m.images[spec.Image] = true
-				if given := d.given[spec.Team]; limit.limited() && j.need.fits(given) {
+				if given := d.given[spec.Team]; team.limited() && j.need.fits(given) {
 					d.given[spec.Team] = given.plus(j.need, -1)
 				} else {
 					room = room.plus(j.need, -1)
@@ -325,6 +333,16 @@
 // pageLimit is how large a page may get by assignments.
 func (c *Core) pageLimit() int { return int(mostOfPage * float64(c.valueBytes())) }
 
+// pageShare is how large a page may get by a job's tasks. A machine takes as many tasks
+// as its page has bytes for: thousands of tiny ones filled the pages, and others found
+// no machine beside room for all of them.
+func (c *Core) pageShare(s *bookkeeping.Spec) int {
+	if !s.Service && s.Priority == int(protocol.BestEffort) {
+		return c.pageLimit() * 8 / 10
+	}
+	return c.pageLimit()
+}
+
 // lacks notes that a part's share of a team's limit keeps tasks waiting.
 func (c *Core) lacks(team string, need amount, tasks int, room amount) {
 	s, ok := c.teamShort[team]
@@ -386,7 +404,7 @@
 	bestScore := math.Inf(1)
 	spec := &j.rec.Spec
 	notes := c.jobState[j.id]
-	limit, conds := c.pageLimit()-len(j.id)-32, 4*c.cfg.Facts.State.TxnOps-4
+	limit, conds := c.pageShare(spec)-len(j.id)-32, 4*c.cfg.Facts.State.TxnOps-4
 	look := func(cd *candidate) {
 		c.stats.looked++
 		if !j.need.fits(cd.free) || !cd.keptFor(j) || !mayRun(spec, cd.rec) || !zones.ok(cd.rec.Zone) || cd.tasks >= mostOnMachine ||
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -198,6 +198,13 @@
 		answer(c.later(429, "too many unfinished jobs"))
 		return
 	}
+	c.counted(&spec)
+	if c.guest(&spec) && c.queue.Waiting(bookkeeping.RankGuest) >= c.guestPlaces() {
+		r := c.later(429, "too many jobs of this team")
+		r.RetryAfter += 1 + int(c.env.Rand().Int64N(3))
+		answer(r)
+		return
+	}
 	c.accept(sub.ID, spec, answer)
 }
 
@@ -273,7 +280,7 @@
 		If:   []protocol.Cond{{Key: openKey, Version: 0}, {Key: bookkeeping.Key(bookkeeping.KindJob, id), Version: 0}},
 		Then: []protocol.Op{{Put: openKey, Value: value}},
 	}
-	c.commit(bookkeeping.RankUser, t, func(r protocol.StoreResult) {
+	c.commit(c.rankOf(&spec, bookkeeping.RankUser), t, func(r protocol.StoreResult) {
 		switch r.Outcome {
 		case protocol.OK:
 			c.stats.accepted++
