What an absent controller had of the teams' limits goes back once its pages are others'

Cause: with its pages went only what ran there; the rest of its share stayed with it for as long as it was away. In TestSharesOfTheAway a team at its limit of 90 CPUs ran 56 tasks at once; now 86 and more. The part's heir drops its record: whatever the absent one may yet write asks for that record's version.

--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -223,6 +223,7 @@
 	c.keepMember()
 	c.election(now)
 	c.inherit(now)
+	c.freeShares(now)
 	c.tendMachines(now)
 	c.tendShares(now)
 	c.tendJobs()
--- a/internal/coordination/reach_test.go
+++ b/internal/coordination/reach_test.go
@@ -160,6 +160,63 @@
 	}
 }
 
+// TestSharesOfTheAway: what a controller had of a team's limit is the others' to use when
+// it has gone, or can't use it, also what it had kept beyond what ran there; its return
+// changes nothing of that, and the limit holds.
+func TestSharesOfTheAway(t *testing.T) {
+	for i, away := range []string{"gone", "cut off from its workers"} {
+		t.Run(away, func(t *testing.T) {
+			c := newCluster(t, uint64(1070+i))
+			clear(c.cloud.Capacity)
+			for _, z := range []string{"a", "b"} {
+				c.cloud.Capacity[standin.Offer("m8", z, false)] = 12
+			}
+			c.teams = []config.Team{{Name: "free"}, {Name: "tight", CPUs: 8, CPUsMax: 90}}
+			c.fleet.Limits["tight"] = 90
+			c.steady()
+			c.submit(0, jobOf{"shape": "daemon", "rank": "high", "pips": 24, "cores": 2.0})
+			c.sim.Run(40 * sec)
+			first := c.submit(15*sec, jobOf{"crew": "tight", "pips": 60, "cores": 1.0})
+			c.sim.Run(5 * sec)
+			node, most := "", 0.0
+			for _, n := range c.names {
+				if a := c.nodes[n].core.partShare(n, "tight").cpus; a > most && c.owned(n) >= 3 {
+					node, most = n, a
+				}
+			}
+			if node == "" {
+				t.Fatal("no part has a share")
+			}
+			if away == "gone" {
+				c.kill(node)
+			} else {
+				c.sever(node, true, false)
+			}
+			c.sim.Run(15 * sec)
+			other := c.names[0]
+			if other == node {
+				other = c.names[1]
+			}
+			core := c.nodes[other].core
+			if a := core.partShare(node, "tight").cpus; a > 0 {
+				t.Errorf("it still has %v CPUs", a)
+			}
+			c.finished(first, 60*sec)
+			all := c.submit(20*sec, jobOf{"crew": "tight", "pips": 90, "cores": 1.0})
+			at := 0
+			c.sim.RunUntil(40*sec, func() bool { at = max(at, c.fleet.Running(all)); return at >= 86 })
+			if at < 86 {
+				t.Errorf("%d of 90 run at once", at)
+			}
+			if away == "gone" {
+				c.start(node)
+			}
+			c.sim.Run(20 * sec)
+			c.rules()
+		})
+	}
+}
+
 // TestWorkersGoRound: machines that are silent because their workers still look for us
 // are no reason to hand them over: they answer when they are asked.
 func TestWorkersGoRound(t *testing.T) {
--- a/internal/coordination/shares.go
+++ b/internal/coordination/shares.go
@@ -458,6 +458,45 @@
 	})
 }
 
+// freeShares gives back what a part that has gone, or is cut off from its machines, still
+// has of the teams' limits once all of its pages are others': its share went with them
+// but for what it had kept for later, and a team at its limit lacked that for as long as
+// the controller was away. Whatever it may yet write asks for the record that is dropped.
+func (c *Core) freeShares(now micros.T) {
+	if c.storeDown || c.partBusy || !c.leaseHeld(now) {
+		return
+	}
+	able := c.able()
+	for _, n := range sortedKeys(c.view.parts) {
+		p := c.view.parts[n]
+		if n == c.node || home(n, able) != c.node || c.jobBusy[partOf(n)] || c.view.watched < p.version ||
+			!c.cutOff(n, now) && (c.isLive(n) || now-c.gone(n, now) <= micros.Second) {
+			continue
+		}
+		left := false
+		for _, pg := range c.view.pages {
+			left = left || pg.rec.Owner == n
+		}
+		if left {
+			continue
+		}
+		key := partOf(n)
+		c.jobBusy[key] = true
+		c.commit(bookkeeping.RankPage, protocol.Txn{
+			If:   []protocol.Cond{{Key: key, Version: p.version}},
+			Then: []protocol.Op{{Delete: key}},
+		}, func(r protocol.StoreResult) {
+			delete(c.jobBusy, key)
+			c.dirty = true
+			if r.Outcome == protocol.OK {
+				c.log.Info("shares of the teams' limits given back", "of", n)
+			}
+		})
+	}
+}
+
+func partOf(node string) string { return bookkeeping.Key(bookkeeping.KindPart, node) }
+
 // moveShares has the shares of the teams' limits follow attempts that go over
 // from one part's pages into another's.
 func (c *Core) moveShares(t *protocol.Txn, conds map[string]bool, from, to string, use map[string]amount) {
