--- /dev/null
+++ b/internal/coordination/claims.go
@@ -0,0 +1,119 @@
+package coordination
+
+import (
+	"pipitgap/internal/bookkeeping"
+	"pipitgap/internal/micros"
+	"pipitgap/internal/protocol"
+)
+
+// Pages whose owner has gone, and how pages change hands.
+const (
+	// A commit of many changes waits until the state service has that many left, and
+	// while all controllers use up what there is that is never: one that was back claimed
+	// its six pages after 3.6 s. Where nothing else must change along, each goes by itself.
+	fewPages      = 1
+	refusedLately = 2 * micros.Second
+	mostCommit    = 56 << 10 // bytes of a commit, as the state service counts them
+)
+
+// inherit claims the pages of our earlier lives, and those of controllers that
+// have gone and whose heir we are: whole pages, many to a commit.
+func (c *Core) inherit(now micros.T) {
+	if c.storeDown || !c.leaseHeld(now) {
+		return
+	}
+	live := c.able()
+	heirless := map[string][]*page{}
+	for _, name := range sortedKeys(c.view.pages) {
+		p := c.view.pages[name]
+		if owner := p.rec.Owner; !c.claiming[name] && c.inherits(p, live, now) && c.view.watched >= p.version {
+			heirless[owner] = append(heirless[owner], p)
+		}
+	}
+	for _, owner := range sortedKeys(heirless) {
+		ps := heirless[owner]
+		for len(ps) > 0 {
+			ps = ps[c.claim(owner, ps):]
+			if owner != c.node {
+				break // one commit at a time, the shares must not conflict
+			}
+		}
+	}
+}
+
+// inherits tells whether we are to claim a page whose owner has gone: an earlier
+// incarnation of ours, or another controller and we are its heir.
+func (c *Core) inherits(p *page, live []string, now micros.T) bool {
+	owner := p.rec.Owner
+	if owner == c.node {
+		return p.rec.Incarnation != c.inc
+	}
+	if c.isLive(owner) {
+		return false
+	}
+	return now-c.gone(owner, now) > micros.Second && home(p.name, live) == c.node
+}
+
+// claim takes over pages of one owner, as many as a commit takes.
+func (c *Core) claim(owner string, ps []*page) int {
+	t, n := c.passPages(ps, c.node, c.inc)
+	ps = ps[:n]
+	for _, p := range ps {
+		c.claiming[p.name] = true
+	}
+	c.commit(bookkeeping.RankClaim, t, func(r protocol.StoreResult) {
+		machines := 0
+		for _, p := range ps {
+			delete(c.claiming, p.name)
+			if r.Outcome != protocol.OK {
+				continue
+			}
+			for _, id := range sortedKeys(p.rec.Machines) {
+				machines++
+				c.show(c.view.machines[id], owner == c.node)
+			}
+		}
+		if r.Outcome == protocol.OK {
+			c.log.Info("pages taken over", "from", owner, "pages", len(ps), "machines", machines)
+		}
+	})
+	return n
+}
+
+// passPages prepares the commit by which pages of one owner go to another: a
+// conditional write that raises their claim numbers, so that tokens of any earlier
+// owner are outranked, with the shares of the teams' limits that their attempts use.
+// As many pages as a commit takes go at once.
+func (c *Core) passPages(ps []*page, to string, incarnation uint64) (t protocol.Txn, taken int) {
+	use := map[string]amount{}
+	bytes := 0
+	from := ps[0].rec.Owner
+	most := c.cfg.Facts.State.TxnOps - 2 // two parts' shares follow
+	if from == to || c.now()-c.refusedAt < refusedLately {
+		most = min(most, fewPages)
+	}
+	for _, p := range ps {
+		rec := p.rec.Clone()
+		rec.Owner, rec.Incarnation = to, incarnation
+		for _, m := range rec.Machines {
+			rec.Claim = max(rec.Claim, m.Claim)
+		}
+		rec.Claim++
+		raw, size := rec.Encode()
+		if taken > 0 && (bytes+size > mostCommit || taken >= most) {
+			break
+		}
+		bytes += size
+		taken++
+		key := bookkeeping.Key(bookkeeping.KindPage, p.name)
+		t.If = append(t.If, protocol.Cond{Key: key, Version: p.version})
+		t.Then = append(t.Then, protocol.Op{Put: key, Value: raw})
+		for team, a := range p.use {
+			addUse(use, team, a, 1)
+		}
+	}
+	if from != to {
+		c.moveShares(&t, map[string]bool{}, from, to, use)
+	}
+	return t, taken
+}
--- a/internal/coordination/guests.go
+++ b/internal/coordination/guests.go
@@ -16,7 +16,7 @@
 	crowdMemory = 10 * micros.Second // submissions that long ago count a third
 	crowdLeast  = 8                  // and so many that count make a crowd, if they are
 	crowdPart   = 0.6                // more than this part of all, or of the lowest priority
-	pagesLate   = 300 * micros.Millisecond
+	pagesLate   = 1200 * micros.Millisecond
 )
 
 // crowd counts a team's submissions of jobs that may wait.
--- a/internal/coordination/reach.go
+++ b/internal/coordination/reach.go
@@ -27,12 +27,6 @@
 	probeEvery   = 2 * micros.Second
 	askedFirst   = 3                 // silent machines that are asked before we take ourselves for cut off
 	trustReached = 3 * micros.Second // one that answers proves the contrary for so long
-	// A commit of many changes waits until the state service has that many left, and
-	// while all controllers use up what there is that is never: one that was back claimed
-	// its six pages after 3.6 s. Where nothing else must change along, each goes by itself.
-	fewPages      = 1
-	refusedLately = 2 * micros.Second
-	mostCommit    = 56 << 10 // bytes of a commit, as the state service counts them
 )
 
 // noteStill notes that the process stood still since the last tick, or whatever else
@@ -226,41 +220,3 @@
 		}
 	})
 }
-
-// passPages prepares the commit by which pages of one owner go to another: a
-// conditional write that raises their claim numbers, so that tokens of any earlier
-// owner are outranked, with the shares of the teams' limits that their attempts use.
-// As many pages as a commit takes go at once.
-func (c *Core) passPages(ps []*page, to string, incarnation uint64) (t protocol.Txn, taken int) {
-	use := map[string]amount{}
-	bytes := 0
-	from := ps[0].rec.Owner
-	most := c.cfg.Facts.State.TxnOps - 2 // two parts' shares follow
-	if from == to || c.now()-c.refusedAt < refusedLately {
-		most = min(most, fewPages)
-	}
-	for _, p := range ps {
-		rec := p.rec.Clone()
-		rec.Owner, rec.Incarnation = to, incarnation
-		for _, m := range rec.Machines {
-			rec.Claim = max(rec.Claim, m.Claim)
-		}
-		rec.Claim++
-		raw, size := rec.Encode()
-		if taken > 0 && (bytes+size > mostCommit || taken >= most) {
-			break
-		}
-		bytes += size
-		taken++
-		key := bookkeeping.Key(bookkeeping.KindPage, p.name)
-		t.If = append(t.If, protocol.Cond{Key: key, Version: p.version})
-		t.Then = append(t.Then, protocol.Op{Put: key, Value: raw})
-		for team, a := range p.use {
-			addUse(use, team, a, 1)
-		}
-	}
-	if from != to {
-		c.moveShares(&t, map[string]bool{}, from, to, use)
-	}
-	return t, taken
-}
