A job that fails everywhere is demand for one try in the longest pause

Cause: found by reading: a job that had failed on all machines there were, with nothing else to keep any, was never demand again and waited for ever; an accepted job must run or stay known, and be tried.

--- a/internal/coordination/autoscaler.go
+++ b/internal/coordination/autoscaler.go
@@ -32,8 +32,12 @@
 	teamLeft := map[string]amount{}
 	for i, j := range c.openJobs() {
 		spec := &j.rec.Spec
-		if s := c.jobState[j.id]; s != nil && now < s.until || c.mistakes(j) {
-			continue // a mistaken job is tried in what room there is
+		if s := c.jobState[j.id]; s != nil && now < s.until {
+			continue
+		}
+		mistaken := c.mistakes(j)
+		if mistaken && !c.mayAsk(j, now) {
+			continue // it is tried in what room there is
 		}
 		left, ok := teamLeft[spec.Team]
 		if !ok {
@@ -45,8 +49,8 @@
 		if n > 0 {
 			left, _ := c.slack(j, c.env.Wall())
 			d := &demand{spec: spec, need: j.need, count: n, job: j.id, index: i, zones: newZoneRule(c.view, j), slack: left, lasts: c.expected(spec), idle: c.bound(j)}
-			if !d.idle && c.idle(j) {
-				d.count = 1
+			if !d.idle && c.idle(j) || mistaken {
+				d.count, d.try = 1, mistaken
 			}
 			ds = append(ds, d)
 		}
@@ -227,6 +231,11 @@
 		return
 	}
 	ds, bins := c.demands(now)
+	for _, d := range ds {
+		if d.try {
+			c.jobNotes(d.job).askedAt = max(now, 1)
+		}
+	}
 	largestFirst(ds)
 	fill(ds, bins)
 	displacing(ds, bins)
--- a/internal/coordination/faults.go
+++ b/internal/coordination/faults.go
@@ -126,6 +126,14 @@
 	return 1
 }
 
+// mayAsk tells whether a machine may be rented for a try of a job that fails everywhere,
+// if there is no room at all: once in the longest pause. It may be the machines' fault
+// after all, and where nothing else keeps any it would wait for ever.
+func (c *Core) mayAsk(j *job, now micros.T) bool {
+	at := c.jobNotes(j.id).askedAt
+	return j.held == 0 && (at == 0 || now-at >= c.set.BackoffMost.T())
+}
+
 // failing lists the jobs that fail here, for the others.
 func (c *Core) failing() map[string]int {
 	var out map[string]int
--- a/internal/coordination/faults_test.go
+++ b/internal/coordination/faults_test.go
@@ -169,3 +169,21 @@
 	}
 	c.rules()
 }
+
+// TestTriedAgain: a job that failed on all machines there were is tried again though none
+// is left and nothing else would have any rented: it may have been the machines.
+func TestTriedAgain(t *testing.T) {
+	c := newCluster(t, 960)
+	c.set.ScaleDownDelay, c.set.ServiceHeadroom = config.Span(5*sec), 0.3
+	c.steady()
+	id := c.submit(2*sec, jobOf{"pips": 40, "cores": 4.0})
+	c.sim.RunUntil(60*sec, func() bool {
+		for _, w := range c.fleet.Workers {
+			w.Sick = true
+		}
+		return c.nodes["n-0"].core.judge(id) == mistaken
+	})
+	c.sim.Run(2 * sec)
+	c.finished(id, 400*sec)
+	c.rules()
+}
--- a/internal/coordination/learning.go
+++ b/internal/coordination/learning.go
@@ -59,6 +59,7 @@
 	failedAt   micros.T
 	retryAt    micros.T // if it fails everywhere: its next try
 	step       micros.T // the pause before that
+	askedAt    micros.T // when it was last demand, for a try, see mayAsk
 	until      micros.T // not to be placed before
 	most       int      // tasks that it had begun when it last got on
 	due        int      // tasks that it is to have begun before it is starved no more
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -31,6 +31,7 @@
 	lasts float64 // seconds that a task is expected to run
 	slack float64 // seconds that it may wait and still meet its aim
 	idle  bool    // idle-time work: ordinary machines aren't rented for it
+	try   bool    // of a job that fails everywhere
 }
 
 // bin is a machine with room, there already or requested.
