--- a/internal/coordination/autoscaler.go
+++ b/internal/coordination/autoscaler.go
@@ -366,6 +366,17 @@
 	u.until = now + u.step
 }
 
+// keepFor is how long an empty machine stays closed before it is given back: the delay
+// for what is cheapest, less for a dearer kind of the same type, by its price. What is
+// kept for the next burst is better kept where it costs least.
+func (c *Core) keepFor(rec *bookkeeping.PageMachine) micros.T {
+	delay := c.set.ScaleDownDelay.T()
+	if t := c.types[rec.Type]; !rec.Spot && t.SpotPrice > 0 && t.SpotPrice < t.Price {
+		return micros.T(float64(delay) * t.SpotPrice / t.Price)
+	}
+	return delay
+}
+
 // tendEmpty closes our empty machines, and has them given back after the delay if
 // they are still empty; headroom that all parts together keep is left. Closing is
 // only a matter of the part that places on them: a waiting task reopens one
@@ -397,7 +408,7 @@
 			closed, ok := c.closedAt[id]
 			if !ok && now-at >= 2*c.set.PassInterval.T() {
 				c.closedAt[id] = now
-			} else if ok && now-closed >= c.set.ScaleDownDelay.T() {
+			} else if ok && now-closed >= c.keepFor(m.rec) {
 				c.remove(m, removeIdle)
 			}
 		case bookkeeping.MachineDraining:
--- a/internal/coordination/plan_test.go
+++ b/internal/coordination/plan_test.go
@@ -7,6 +7,7 @@
 
 	"pipitgap/internal/bookkeeping"
 	"pipitgap/internal/config"
+	"pipitgap/internal/micros"
 	"pipitgap/internal/protocol"
 )
 
@@ -209,3 +210,27 @@
 		t.Errorf("20 choices among equals fell on %d machines: no sample", len(seen))
 	}
 }
+
+// TestKeepFor: how long an empty machine is kept for the next burst: a dear one less
+// long than a cheap one of the same type.
+func TestKeepFor(t *testing.T) {
+	core := newCluster(t, 12).steady().nodes["n-0"].core
+	core.set.ScaleDownDelay = config.Span(20 * sec)
+	core.types = map[string]protocol.MachineType{
+		"both":    {Name: "both", CPUs: 8, Price: 1, SpotPrice: 0.25},
+		"no spot": {Name: "no spot", CPUs: 8, Price: 1},
+		"no gain": {Name: "no gain", CPUs: 8, Price: 1, SpotPrice: 1.5},
+	}
+	for _, tc := range []struct {
+		typ  string
+		spot bool
+		want micros.T
+	}{
+		{"both", true, 20 * sec}, {"both", false, 5 * sec}, {"no spot", false, 20 * sec},
+		{"no gain", false, 20 * sec}, {"no gain", true, 20 * sec}, {"unknown", false, 20 * sec},
+	} {
+		if got := core.keepFor(&bookkeeping.PageMachine{Type: tc.typ, Spot: tc.spot}); got != tc.want {
+			t.Errorf("%s, spot %v: %v s", tc.typ, tc.spot, got.Seconds())
+		}
+	}
+}
