Committed cancellations go from controller to controller; leases expire without that evidence

Cause: a controller that the state service refused alone kept renewing leases once the service was down for all, since no peer had it *now*. What peers had confirmed in between it never heard: its tasks outlived cancel_s.

Now every hint carries the committed cancellations that the receiver's mirror hasn't reached, and echoes the receiver's clock. A complete round with that echo proves that all the sender had confirmed by then is known. Leases are renewed only on knowledge newer than cancel_s - lease_s - 1 s, from the mirror or from all peers (internal/cancellation).

A job's record is swept only once the mirror holds the revision of its cancellation: an answer that was learned ahead of the job's pages made it look as if nothing were held.

--- /dev/null
+++ b/internal/cancellation/relay_test.go
@@ -0,0 +1,141 @@
+package cancellation
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pipitgap/internal/micros"
+)
+
+// pair is two controllers' relays, and the messages of a round that are delivered.
+type pair struct{ holder, confirmer *Relay }
+
+func newPair() *pair {
+	return &pair{NewRelay(11, []string{"confirmer"}), NewRelay(22, []string{"holder"})}
+}
+
+// tell delivers the holder's round to the confirmer.
+func (p *pair) tell(now micros.T, watched uint64) {
+	for _, m := range p.holder.Messages("confirmer", now, watched, true) {
+		p.confirmer.Receive("holder", m)
+	}
+}
+
+// hear delivers the confirmer's round to the holder, without the messages in lost.
+func (p *pair) hear(complete bool, lost ...int) []Committed {
+	var fresh []Committed
+	for i, m := range p.confirmer.Messages("holder", 1_000_000, 0, complete) {
+		if !slices.Contains(lost, i) {
+			fresh = append(fresh, p.holder.Receive("confirmer", m)...)
+		}
+	}
+	return fresh
+}
+
+func TestKnownUntil(t *testing.T) {
+	const told, now = micros.T(500), micros.T(900)
+	many := func(r *Relay) {
+		for i := range 2*maxPerMessage + 1 {
+			r.Note(Committed{fmt.Sprintf("j-%d", i), uint64(100 + i)})
+		}
+	}
+	cases := []struct {
+		name     string
+		do       func(p *pair) int // returns the cancellations that reached the holder
+		until    micros.T
+		received int
+	}{
+		{"nothing heard", func(*pair) int { return 0 }, 0, 0},
+		{"one round trip", func(p *pair) int { p.tell(told, 50); return len(p.hear(true)) }, told, 0},
+		{"a word that echoes nothing", func(p *pair) int { return len(p.hear(true)) }, 0, 0},
+		{"a peer that hasn't read its records", func(p *pair) int { p.tell(told, 50); return len(p.hear(false)) }, 0, 0},
+		{"a cancellation goes along", func(p *pair) int {
+			p.tell(told, 50)
+			p.confirmer.Note(Committed{"j-1", 60})
+			return len(p.hear(true))
+		}, told, 1},
+		{"what the mirror has is left out", func(p *pair) int {
+			p.tell(told, 60)
+			p.confirmer.Note(Committed{"j-1", 60})
+			return len(p.hear(true))
+		}, told, 0},
+		{"many cancellations", func(p *pair) int { p.tell(told, 50); many(p.confirmer); return len(p.hear(true)) }, told, 2*maxPerMessage + 1},
+		{"many, the first message lost", func(p *pair) int { p.tell(told, 50); many(p.confirmer); return len(p.hear(true, 0)) }, 0, maxPerMessage + 1},
+		{"many, the last message lost", func(p *pair) int { p.tell(told, 50); many(p.confirmer); return len(p.hear(true, 2)) }, 0, 2 * maxPerMessage},
+		{"many, the next round whole", func(p *pair) int {
+			p.tell(told, 50)
+			many(p.confirmer)
+			n := len(p.hear(true, 1))
+			return n + len(p.hear(true))
+		}, told, 2*maxPerMessage + 1},
+		{"an echo of an earlier life of the holder", func(p *pair) int {
+			p.tell(told, 50)
+			p.holder = NewRelay(12, []string{"confirmer"})
+			return len(p.hear(true))
+		}, 0, 0},
+		{"a late round of an earlier life of the holder", func(p *pair) int {
+			late := p.holder.Messages("confirmer", told, 50, true)
+			p.holder = NewRelay(12, []string{"confirmer"})
+			p.tell(100, 0)
+			p.confirmer.Receive("holder", late[0])
+			return len(p.hear(true))
+		}, 0, 0},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			p := newPair()
+			if n := tc.do(p); n != tc.received {
+				t.Errorf("%d cancellations reach the holder, not %d", n, tc.received)
+			}
+			if got := p.holder.KnownUntil(0, now); got != tc.until {
+				t.Errorf("known until %d, not %d", got, tc.until)
+			}
+			if got := p.holder.KnownUntil(700, now); got != 700 {
+				t.Errorf("a newer mirror doesn't count: %d", got)
+			}
+		})
+	}
+	if got := NewRelay(1, nil).KnownUntil(0, now); got != now {
+		t.Errorf("alone everything is known, not until %d", got)
+	}
+}
+
+// TestEveryPeerCounts: one peer that isn't heard leaves all in doubt.
+func TestEveryPeerCounts(t *testing.T) {
+	holder := NewRelay(1, []string{"a", "b"})
+	for _, name := range []string{"a", "b"} {
+		if got := holder.KnownUntil(0, 900); got != 0 {
+			t.Errorf("before %s is heard: known until %d", name, got)
+		}
+		other := NewRelay(2, []string{"holder"})
+		other.Receive("holder", holder.Messages(name, 500, 0, true)[0])
+		holder.Receive(name, other.Messages("holder", 7, 0, true)[0])
+	}
+	if got := holder.KnownUntil(0, 900); got != 500 {
+		t.Errorf("known until %d", got)
+	}
+	if holder.Receive("stranger", Message{Complete: true, Parts: 1, EchoIncarnation: 1, EchoClock: 800}) != nil {
+		t.Error("a stranger is listened to")
+	}
+}
+
+// TestPassedOn: a third controller passes on what the confirmer told it, also when the
+// confirmer is gone; what is over everywhere is forgotten.
+func TestPassedOn(t *testing.T) {
+	third := NewRelay(3, []string{"confirmer", "holder"})
+	third.Receive("confirmer", Message{Parts: 1, Committed: []Committed{{"j-1", 60}, {"j-2", 61}}})
+	third.Forget("j-2")
+	ms := third.Messages("holder", 5, 0, true)
+	if len(ms) != 1 || !slices.Equal(ms[0].Committed, []Committed{{"j-1", 60}}) {
+		t.Errorf("passed on: %+v", ms)
+	}
+	third.KeepOnly(59, func(string) bool { return false })
+	if len(third.Since(0)) != 1 {
+		t.Error("what the records haven't reached is dropped")
+	}
+	third.KeepOnly(60, func(string) bool { return false })
+	if len(third.Since(0)) != 0 {
+		t.Error("what has left the records is kept")
+	}
+}
--- /dev/null
+++ b/internal/coordination/cancellations.go
@@ -0,0 +1,77 @@
+package coordination
+
+import (
+	"pipitgap/internal/bookkeeping"
+	"pipitgap/internal/cancellation"
+	"pipitgap/internal/micros"
+	"pipitgap/internal/protocol"
+)
+
+const (
+	// expiryMargin is what remains between the end of a lease and the moment at which a
+	// cancelled task must be gone: the drift of two clocks over a minute, and the
+	// intervals at which a worker looks at its lease.
+	expiryMargin = micros.Second
+	// leastRenewal is for how long leases are renewed on evidence of any age. Without it
+	// a platform whose leases are longer than its cancellations may take would have
+	// every check-in refused between two answers of the watch.
+	leastRenewal = 3 * micros.Second
+)
+
+// renewalLimit is how old the knowledge of cancellations may be on which a lease is
+// renewed: a task that was cancelled just after it ends with the lease, in time.
+func (c *Core) renewalLimit() micros.T {
+	w := c.cfg.Facts.Workers
+	return max(leastRenewal, micros.FromSeconds(w.CancelS)-micros.FromSeconds(w.LeaseS)-expiryMargin)
+}
+
+// mustLetLeasesExpire tells whether check-ins must go unanswered: another controller may
+// have confirmed a cancellation that we know nothing of, so long ago that its tasks
+// would outlast their time if we renewed their lease now.
+func (c *Core) mustLetLeasesExpire(now micros.T) bool {
+	expire := now-c.cancellations.KnownUntil(c.freshAt, now) >= c.renewalLimit()
+	if expire != c.expiring {
+		c.expiring = expire
+		c.log.Info("leases of workers", "renewed", !expire)
+	}
+	return expire
+}
+
+// noteCancellation keeps a cancellation that our mirror holds for the peers.
+func (c *Core) noteCancellation(j *job) {
+	if j != nil && j.over == bookkeeping.Cancelled && j.overAt != 0 {
+		c.cancellations.Note(cancellation.Committed{Job: j.id, Revision: j.overAt})
+	}
+}
+
+// learnCancellations takes over cancellations that a peer knows and our mirror doesn't
+// yet. They are committed, so nothing can undo them: the workers that we hold are told
+// to stop the tasks, and users get the answer.
+func (c *Core) learnCancellations(list []cancellation.Committed) {
+	for _, known := range list {
+		if known.Revision > c.view.watched {
+			c.applyCancellation(known)
+		}
+	}
+}
+
+func (c *Core) applyCancellation(known cancellation.Committed) {
+	key := bookkeeping.Key(bookkeeping.KindJob, known.Job)
+	c.view.put(key, protocol.MustMarshal(&bookkeeping.Answer{Status: bookkeeping.Cancelled}), known.Revision)
+}
+
+// reconcileCancellations brings mirror and relay together when all records were read
+// anew: the mirror gets what was committed after the lists, the relay keeps nothing of
+// jobs that are gone.
+func (c *Core) reconcileCancellations() {
+	for _, id := range sortedKeys(c.view.jobs) {
+		c.noteCancellation(c.view.jobs[id])
+	}
+	c.cancellations.KeepOnly(c.view.watched, func(id string) bool {
+		j := c.view.jobs[id]
+		return j != nil && !j.open()
+	})
+	for _, known := range c.cancellations.Since(c.view.watched) {
+		c.applyCancellation(known)
+	}
+}
--- a/internal/coordination/checkins.go
+++ b/internal/coordination/checkins.go
@@ -44,7 +44,7 @@
 		answer(errorReply(503, "stood still"))
 		return
 	}
-	if c.mustLapse(now) {
+	if c.mustLetLeasesExpire(now) {
 		answer(errorReply(503, "cut off from the state service"))
 		return
 	}
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -3,9 +3,11 @@
 import (
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sort"
 
 	"pipitgap/internal/bookkeeping"
+	"pipitgap/internal/cancellation"
 	"pipitgap/internal/config"
 	"pipitgap/internal/micros"
 	"pipitgap/internal/protocol"
@@ -91,9 +93,12 @@
 	tickAt     micros.T                  // when it was last seen to run
 	freshAt    micros.T                  // when the watch was sent that last answered
 	resumedAt  micros.T                  // when we last went on after standing still
+	expiring   bool                      // the leases of our workers are left to expire
 	peerFails  map[string]map[string]int // by peer, the jobs that fail there, see failing
 	deadSince  map[string]micros.T
 
+	cancellations *cancellation.Relay // committed ones, exchanged with the peers
+
 	types     map[string]protocol.MachineType
 	catalogAt micros.T
 	catalogIn bool
@@ -155,6 +160,7 @@
 	for _, p := range cfg.Known {
 		c.all = append(c.all, p.Node)
 	}
+	c.cancellations = cancellation.NewRelay(c.inc, slices.Clone(c.all[1:]))
 	sort.Strings(c.all)
 	c.view = newView(c.touched)
 	c.queue.MaxInFlight = 8
@@ -241,10 +247,12 @@
 			delete(c.jobState, name)
 			delete(c.preempting, name)
 			delete(c.accepted, name)
+			c.cancellations.Forget(name)
 			return
 		}
 		c.jobNotes(name).sharedAt = c.now()
 	case bookkeeping.KindJob:
+		c.noteCancellation(c.view.jobs[name])
 		if j := c.view.jobs[name]; j != nil && j.held > 0 {
 			if n := c.jobNotes(name); n.overAt == 0 {
 				n.overAt = c.now()
--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -72,8 +72,9 @@
 		switch {
 		case j.open() && j.complete() && home(j.id, live) == c.node:
 			c.end(j)
-		case !j.open() && j.held == 0 && home(j.id, live) == c.node && c.view.watched >= j.overAt:
-			// With a mirror that has all that came before the answer.
+		case !j.open() && j.held == 0 && home(j.id, live) == c.node && j.overAt != 0 && c.view.watched >= j.overAt:
+			// With a mirror that has all that came before the answer. An answer that was
+			// learned ahead of the job's record has no revision until the mirror has it.
 			c.sweep(j)
 		}
 	}
--- a/internal/coordination/membership.go
+++ b/internal/coordination/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"pipitgap/internal/bookkeeping"
+	"pipitgap/internal/cancellation"
 	"pipitgap/internal/micros"
 	"pipitgap/internal/protocol"
 )
@@ -15,6 +16,8 @@
 	Users       int  // calls of users that wait there for the store
 	Reach       Reach
 	Failing     map[string]int // jobs that fail there: on how many machines
+
+	Cancellations cancellation.Message
 }
 
 func (c *Core) grant() {
@@ -148,7 +151,12 @@
 	ok := !c.storeDown && now-c.storeOKAt < 1500*micros.Millisecond
 	failing := c.failing()
 	for _, p := range c.cfg.Known {
-		c.env.Peer(p.Node, Hint{Node: c.node, Incarnation: c.inc, StoreOK: ok, Users: c.queue.Waiting(bookkeeping.RankUser), Reach: c.reach(), Failing: failing})
+		hint := Hint{Node: c.node, Incarnation: c.inc, StoreOK: ok, Users: c.queue.Waiting(bookkeeping.RankUser),
+			Reach: c.reach(), Failing: failing}
+		for _, m := range c.cancellations.Messages(p.Node, now, c.view.watched, c.loaded) {
+			hint.Cancellations = m
+			c.env.Peer(p.Node, hint)
+		}
 	}
 }
 
@@ -164,4 +172,5 @@
 	if h.Users > manyUsers {
 		c.peerUsers[h.Node] = now
 	}
+	c.learnCancellations(c.cancellations.Receive(h.Node, h.Cancellations))
 }
--- a/internal/coordination/mirror.go
+++ b/internal/coordination/mirror.go
@@ -20,14 +20,19 @@
 	view := newView(func(string, string) {})
 	view.finals = c.view.finals
 	var first, last uint64
+	var sent micros.T // when the first list was asked for
 	begun := false
 	var page func(k int, after string)
 	page = func(k int, after string) {
 		if k == len(kinds) {
-			c.loadAnswers(view, sortedKeys(view.jobs), func() { c.adopt(view, first, last) })
+			c.loadAnswers(view, sortedKeys(view.jobs), func() {
+				c.freshAt = max(c.freshAt, sent)
+				c.adopt(view, first, last)
+			})
 			return
 		}
 		sc := &protocol.StoreCall{Op: protocol.StoreList, Key: bookkeeping.Key(kinds[k], ""), After: after, Limit: 500}
+		asked := c.now()
 		c.call(bookkeeping.RankClaim, sc, func(r protocol.StoreResult) {
 			if r.Outcome != protocol.OK {
 				wait := 200*micros.Millisecond + micros.T(c.env.Rand().Int64N(int64(400*micros.Millisecond)))
@@ -36,6 +41,7 @@
 			}
 			if !begun { // the revision of an empty store is 0
 				begun, first, c.measuredAt = true, r.Revision, c.now()
+				sent = asked
 			}
 			last = max(last, r.Revision)
 			for _, it := range r.Items {
@@ -108,6 +114,7 @@
 	view.watched, view.newest, view.touched = first, max(last, c.view.newest), c.touched
 	c.view = view
 	c.loading, c.loaded, c.loadedUpTo = false, true, last
+	c.reconcileCancellations()
 	for _, name := range sortedKeys(view.pages) {
 		c.pageTouched(name)
 	}
--- a/internal/coordination/store.go
+++ b/internal/coordination/store.go
@@ -169,32 +169,6 @@
 // takenOver is how long after a membership ends its machines have other owners.
 const takenOver = 3 * micros.Second
 
-// mustLapse tells whether we must let our workers' leases end. Cut off together
-// with its workers, a controller sees no cancellation, and every answer that it
-// gives keeps cancelled tasks running; the other controllers can't reach them. So
-// without news from the store for so long that a task cancelled meanwhile would
-// not be gone in time, it answers no more, unless every other controller is heard
-// and is without the store too: then nobody can have cancelled anything.
-func (c *Core) mustLapse(now micros.T) bool {
-	const margin = 5 * micros.Second / 2
-	w := c.cfg.Facts.Workers
-	wait := max(0, micros.FromSeconds(w.CancelS)-micros.FromSeconds(w.LeaseS)-margin)
-	if now-c.watchOKAt < wait {
-		return false
-	}
-	const heard = 6 * micros.Second
-	for _, p := range c.cfg.Known {
-		seen, ok := c.peerSeen[p.Node]
-		if !ok || now-seen > heard {
-			return true
-		}
-		if at, ok := c.peerOK[p.Node]; ok && now-at < heard {
-			return true
-		}
-	}
-	return false
-}
-
 // commit makes a conditional change; on success it is in the mirror before
 // back is called.
 func (c *Core) commit(rank bookkeeping.Rank, t protocol.Txn, back func(protocol.StoreResult)) {
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"pipitgap/internal/bookkeeping"
+	"pipitgap/internal/cancellation"
 	"pipitgap/internal/protocol"
 )
 
@@ -417,6 +418,7 @@
 		switch r.Outcome {
 		case protocol.OK:
 			c.log.Debug("job cancelled", "job", id)
+			c.cancellations.Note(cancellation.Committed{Job: id, Revision: r.Revision})
 			answer(status(id, bookkeeping.Cancelled))
 		case protocol.Conflict:
 			c.lookUp(id, func(rep Reply) {
--- /dev/null
+++ b/internal/standin/checker_test.go
@@ -0,0 +1,159 @@
+package standin
+
+import (
+	"testing"
+
+	"pipitgap/internal/micros"
+	"pipitgap/internal/protocol"
+)
+
+const second = micros.Second
+
+// watchedDay is a checker with one accepted job of two tasks and a few machines.
+type watchedDay struct {
+	*Checker
+	sim           *Sim
+	machine, twin *Rented
+}
+
+func submission(id string, more map[string]any) []byte {
+	j := map[string]any{"id": id, "lane": "batch", "crew": "tight", "shape": "sweep", "rank": "standard", "pips": 2,
+		"cores": 4.0, "accelerators": 0.0, "memory_gb": 8.0, "plumage": "img", "pull_gb": 0.5, "breeds": nil,
+		"grove": nil, "one_zone": false, "apart": false, "borrowed": false, "guess_s": 5.0, "perch_s": 0.0,
+		"stash_s": 0.0, "due_s": nil}
+	for k, v := range more {
+		j[k] = v
+	}
+	return protocol.MustMarshal(j)
+}
+
+func newWatchedDay(more map[string]any) *watchedDay {
+	sim := NewSim(1)
+	d := &watchedDay{Checker: NewChecker(sim, 30*second), sim: sim,
+		machine: &Rented{ID: "i-1", Type: "m8", Zone: "a"}, twin: &Rented{ID: "i-2", Type: "m8", Zone: "b"}}
+	d.Limits["tight"] = 8
+	sim.Run(second)
+	d.tell("POST", "/v2/runs", submission("j-1", more), 201, protocol.JobPending)
+	return d
+}
+
+// tell has a user ask and be answered a moment later.
+func (d *watchedDay) tell(method, target string, body []byte, status int, state string) {
+	q := d.Ask(method, target, body)
+	d.sim.Run(second / 10)
+	q.Answer(status, protocol.MustMarshal(&protocol.JobStatus{Status: state}))
+	d.sim.Run(second / 10)
+}
+
+func (d *watchedDay) poll(state string) { d.tell("GET", "/v2/runs/j-1", nil, 200, state) }
+
+func (d *watchedDay) begin(task string, m *Rented) { d.Begin(task, m, "tight", 4) }
+
+func (d *watchedDay) cancel() { d.tell("POST", "/v2/runs/j-1/abort", nil, 200, protocol.JobCancelled) }
+
+// TestChecker: each kind of violation is caught, and what is allowed isn't taken for one.
+func TestChecker(t *testing.T) {
+	cases := []struct {
+		name string
+		more map[string]any
+		do   func(d *watchedDay)
+		want Rule // "": none
+	}{
+		{"a whole life", nil, func(d *watchedDay) {
+			d.begin("j-1/0", d.machine)
+			d.begin("j-1/1", d.twin)
+			d.poll(protocol.JobRunning)
+			for _, task := range []string{"j-1/0", "j-1/1"} {
+				d.Finish(task)
+			}
+			d.End("j-1/0", d.machine, "tight", 4)
+			d.End("j-1/1", d.twin, "tight", 4)
+			d.poll(protocol.JobDone)
+		}, ""},
+		{"moved after its end", nil, func(d *watchedDay) {
+			d.begin("j-1/0", d.machine)
+			d.End("j-1/0", d.machine, "tight", 4)
+			d.begin("j-1/0", d.twin)
+		}, ""},
+		{"two attempts", nil, func(d *watchedDay) { d.begin("j-1/0", d.machine); d.begin("j-1/0", d.twin) }, RanTwice},
+		{"over the limit", nil, func(d *watchedDay) {
+			d.begin("j-1/0", d.machine)
+			d.begin("j-1/1", d.machine)
+			d.begin("j-2/0", d.machine)
+		}, OverLimit},
+		{"another zone", map[string]any{"grove": "b"}, func(d *watchedDay) { d.begin("j-1/0", d.machine) }, WrongPlace},
+		{"another type", map[string]any{"breeds": []any{"m16"}}, func(d *watchedDay) { d.begin("j-1/0", d.machine) }, WrongPlace},
+		{"a spot machine", nil, func(d *watchedDay) { d.machine.Spot = true; d.begin("j-1/0", d.machine) }, WrongPlace},
+		{"two zones", map[string]any{"one_zone": true}, func(d *watchedDay) {
+			d.begin("j-1/0", d.machine)
+			d.begin("j-1/1", d.twin)
+		}, WrongPlace},
+		{"not apart", map[string]any{"apart": true}, func(d *watchedDay) {
+			d.begin("j-1/0", d.machine)
+			d.begin("j-1/1", d.machine)
+		}, WrongPlace},
+		{"a start in time after a cancellation", nil, func(d *watchedDay) {
+			d.cancel()
+			d.begin("j-1/0", d.machine)
+			d.End("j-1/0", d.machine, "tight", 4)
+			d.sim.Run(40 * second)
+		}, ""},
+		{"a start too late after a cancellation", nil, func(d *watchedDay) {
+			d.cancel()
+			d.sim.Run(31 * second)
+			d.begin("j-1/0", d.machine)
+		}, RanCancelled},
+		{"a task stays after a cancellation", nil, func(d *watchedDay) {
+			d.begin("j-1/0", d.machine)
+			d.cancel()
+			d.sim.Run(31 * second)
+		}, RanCancelled},
+		{"running after cancelled", nil, func(d *watchedDay) { d.cancel(); d.poll(protocol.JobRunning) }, WentBack},
+		{"an answer that was on its way", nil, func(d *watchedDay) {
+			q := d.Ask("GET", "/v2/runs/j-1", nil)
+			d.cancel()
+			q.Answer(200, protocol.MustMarshal(&protocol.JobStatus{Status: protocol.JobRunning}))
+		}, ""},
+		{"done after cancelled", nil, func(d *watchedDay) { d.cancel(); d.poll(protocol.JobDone) }, WentBack},
+		{"cancelled by nobody", nil, func(d *watchedDay) { d.poll(protocol.JobCancelled) }, WentBack},
+		{"done too early", nil, func(d *watchedDay) { d.Finish("j-1/0"); d.poll(protocol.JobDone) }, NotDone},
+		{"unknown after accepted", nil, func(d *watchedDay) { d.tell("GET", "/v2/runs/j-1", nil, 404, "") }, Forgotten},
+		{"refused after accepted", nil, func(d *watchedDay) { d.tell("POST", "/v2/runs", submission("j-1", nil), 422, "") }, Forgotten},
+		{"asked to come back", nil, func(d *watchedDay) { d.tell("GET", "/v2/runs/j-1", nil, 503, "") }, ""},
+		{"never answered", nil, func(d *watchedDay) { d.Unanswered("j-1") }, Forgotten},
+		{"known by nobody", nil, func(d *watchedDay) { d.tell("GET", "/v2/runs/j-9", nil, 200, protocol.JobPending) }, Invented},
+		{"malformed", nil, func(d *watchedDay) {
+			d.tell("POST", "/v2/runs", submission("j-2", map[string]any{"pips": 0}), 201, protocol.JobPending)
+		}, Unfit},
+		{"can never run", nil, func(d *watchedDay) {
+			d.NeverRuns("j-2")
+			d.tell("POST", "/v2/runs", submission("j-2", nil), 201, protocol.JobPending)
+		}, Unfit},
+		{"malformed, once it is known", nil, func(d *watchedDay) {
+			d.tell("POST", "/v2/runs", submission("j-1", map[string]any{"pips": 0}), 200, protocol.JobPending)
+		}, ""},
+		{"left beside room", nil, func(d *watchedDay) { d.wait(Room{d.machine, 8, 64}) }, LeftWaiting},
+		{"no room", nil, func(d *watchedDay) { d.wait(Room{d.machine, 3, 64}) }, ""},
+		{"no memory", nil, func(d *watchedDay) { d.wait(Room{d.machine, 8, 7}) }, ""},
+		{"room elsewhere", map[string]any{"grove": "b"}, func(d *watchedDay) { d.wait(Room{d.machine, 8, 64}) }, ""},
+		{"room, the team at its limit", nil, func(d *watchedDay) {
+			d.Begin("j-3/0", d.twin, "tight", 8)
+			d.wait(Room{d.machine, 8, 64})
+		}, ""},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			d := newWatchedDay(tc.more)
+			tc.do(d)
+			if tc.want == "" && len(d.Broken) > 0 || tc.want != "" && (len(d.Broken) == 0 || d.Broken[0].Rule != tc.want) {
+				t.Errorf("broken: %v, want %q", d.Broken, tc.want)
+			}
+		})
+	}
+}
+
+// wait lets both tasks wait for two minutes beside a room.
+func (d *watchedDay) wait(r Room) {
+	d.WatchWaiting(func() []Room { return []Room{r} })
+	d.sim.Run(120 * second)
+}
