--- a/internal/coordination/cluster_test.go
+++ b/internal/coordination/cluster_test.go
@@ -32,6 +32,7 @@
 	cut      map[string]bool // "machine-node" or "node-node" pairs that can't talk
 	deaf     map[string]bool // machines whose reports arrive, but nothing reaches them
 	unseen   map[string]bool // machines that are reached, but whose reports don't arrive
+	split    bool            // the zones can't reach each other
 	lateDo   func(w *standin.Worker, req *protocol.DoRequest) micros.T
 	next     int
 	copies   func(w *standin.Worker, node string, body []byte) // sees every report on its way
@@ -145,7 +146,7 @@
 		}
 		c.sim.After(delay, func() {
 			switch {
-			case w.Machine.Gone || w.Silent || c.cut[id+"-"+e.n.name] || c.deaf[id]:
+			case w.Machine.Gone || w.Silent || c.apart(w, e.n.name) || c.deaf[id]:
 			case w.Hanging:
 				w.Hold(execute)
 			default:
@@ -157,7 +158,7 @@
 
 func (e *simEnv) Peer(node string, h Hint) {
 	c := e.n.c
-	if c.cut[e.n.name+"-"+node] || c.cut[node+"-"+e.n.name] {
+	if c.cut[e.n.name+"-"+node] || c.cut[node+"-"+e.n.name] || c.split && areaOf(e.n.name) != areaOf(node) {
 		return
 	}
 	c.sim.After(2*micros.Millisecond, func() {
@@ -201,7 +202,7 @@
 	}
 	c.cloud.OnGone = c.fleet.Down
 	c.fleet.Send = func(w *standin.Worker, node string, body []byte, back func(int, []byte)) {
-		if c.cut[w.Machine.ID+"-"+node] || c.unseen[w.Machine.ID] {
+		if c.apart(w, node) || c.unseen[w.Machine.ID] {
 			return
 		}
 		if c.copies != nil {
@@ -226,6 +227,19 @@
 	return c
 }
 
+// areaOf is the zone that a controller stands in.
+func areaOf(node string) string {
+	if node == "n-0" {
+		return "a"
+	}
+	return "b"
+}
+
+// apart tells whether a machine and a controller can't reach each other.
+func (c *cluster) apart(w *standin.Worker, node string) bool {
+	return c.cut[w.Machine.ID+"-"+node] || c.split && w.Machine.Zone != areaOf(node)
+}
+
 func (c *cluster) config(node string) *config.Config {
 	cfg := &config.Config{Node: node, Area: "a", PublicAddr: "127.0.0.1:1", PeerBind: "127.0.0.1:2"}
 	for _, n := range c.names {
--- a/internal/coordination/combined_failures_test.go
+++ b/internal/coordination/combined_failures_test.go
@@ -160,6 +160,27 @@
 			u := s.add(4*sec, jobOf{"cores": 1.0, "borrowed": true})
 			s.waitFor(60*sec, func() bool { return s.fleet.Finished[u.id+"/0"] }, func() { s.sim.After(s.jitter(sec/2), u.cancel) })
 		})}},
+		{name: "small jobs end far apart across a change of leader", prepare: func(s *scenario) {
+			for i := range 4 {
+				u := s.add(25*sec, jobOf{"pips": 2 + i%2, "cores": 1.0})
+				s.fleet.RunOf[u.id+"/0"] = 5 * sec
+				s.fleet.RunOf[u.id+"/1"] = 60 * sec
+			}
+		}, faults: []fault{crash(45*sec, leader, 4*sec), crash(58*sec, leader, 4*sec), crash(70*sec, leader, sec)}},
+		{name: "jobs bound to a zone lose machines", prepare: func(s *scenario) {
+			for i := range 4 {
+				s.add(60*sec, jobOf{"pips": 3, "grove": []string{"a", "b"}[i%2], "one_zone": i > 1})
+			}
+		}, faults: []fault{machinesDie(50*sec, 4), zoneCut(60*sec, 20*sec), cancelNow(62*sec, 4, 0), machinesDie(90*sec, 4)}},
+		{name: "a zone is cut off for longer than a lease", faults: []fault{
+			zoneCut(60*sec, 25*sec), cancelNow(62*sec, 4, 0), cancelNow(75*sec, 4, 0), crash(80*sec, leader, 3*sec)}},
+		{name: "zones cut, then no store for anybody", faults: []fault{
+			zoneCut(60*sec, 60*sec), cancelNow(60*sec, 4, 0), cancelNow(65*sec, 4, 0), outage(66*sec, 45*sec)}},
+		{name: "more work than room, answers are slow", prepare: func(s *scenario) {
+			for i := range 8 {
+				s.add(20*sec, jobOf{"pips": 30, "cores": 2.0, "rank": []string{"standard", "high", "best_effort", "prod"}[i%4], "borrowed": i%2 == 0})
+			}
+		}, faults: []fault{slowStore(45*sec, sec, 60*sec), cancelNow(60*sec, 4, 0), crash(70*sec, leader, 3*sec)}},
 		{name: "the store is slow to answer and refuses the leader", closeLook: true, faults: []fault{
 			lateWrites(60*sec, 0.1, 20*sec), refusal(70*sec, leader, 6*sec), cancelNow(71*sec, 4, 0), outage(78*sec, 40*sec), cancelNow(80*sec, 4, 0)}},
 	}
--- a/internal/coordination/faults_standin_test.go
+++ b/internal/coordination/faults_standin_test.go
@@ -247,6 +247,31 @@
 	}
 }
 
+// slowStore has the state service answer late, within the time that callers wait.
+func slowStore(at micros.T, most, d micros.T) fault {
+	return fault{at, "slow store", func(s *scenario) {
+		s.store.Slow = func() micros.T { return s.jitter(most) }
+		s.sim.After(d, func() { s.store.Slow = nil })
+	}}
+}
+
+// zoneCut keeps the zones from reaching each other; each has controllers and workers.
+func zoneCut(at, d micros.T) fault {
+	return fault{at, "zones cut", func(s *scenario) {
+		s.split = true
+		s.sim.After(d, func() { s.split = false })
+	}}
+}
+
+// machinesDie takes some machines away without notice.
+func machinesDie(at micros.T, n int) fault {
+	return fault{at, "machines die", func(s *scenario) {
+		for _, w := range s.machines(n) {
+			s.cloud.Remove(w.Machine.ID)
+		}
+	}}
+}
+
 // submissions has users submit jobs at a rate for a while.
 func submissions(at micros.T, every, d micros.T, make func(s *scenario)) fault {
 	return fault{at, "submissions", func(s *scenario) {
--- a/internal/coordination/scenario_test.go
+++ b/internal/coordination/scenario_test.go
@@ -90,7 +90,8 @@
 
 // calm ends every trouble and has the checker look for what is left behind.
 func (s *scenario) calm() {
-	s.store.Delay, s.store.LoseAnswer, s.lateDo, s.copies = nil, nil, nil, nil
+	s.store.Delay, s.store.LoseAnswer, s.store.Slow = nil, nil, nil
+	s.lateDo, s.copies, s.split = nil, nil, false
 	clear(s.store.Refused)
 	clear(s.cut)
 	clear(s.deaf)
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -168,8 +168,8 @@
 		// A known job is known, whatever its repeated submission looks like. Only
 		// a node that can't ask gives the verdict on the text alone.
 		if _, no := c.busy(); no {
-			if !c.ready {
-				answer(c.later(503, "records not read yet"))
+			if !c.ready || c.view.jobs[sub.ID] != nil {
+				answer(c.later(503, "state service out of reach"))
 				return
 			}
 			answer(errorReply(400, bad.Error()))
@@ -302,10 +302,8 @@
 	})
 }
 
-// lookUp answers from a mirror as new as the question. What it doesn't hold is
-// over, or was never accepted: the store itself is asked, first for the answer
-// that is kept for ever, then once more for the job, so that a record which this
-// mirror can't read is still known.
+// lookUp answers from a mirror as new as the question. What it doesn't hold is over, or
+// was never accepted: the store itself is asked.
 func (c *Core) lookUp(id string, answer func(Reply)) {
 	if len(c.askers) >= mostAskers {
 		answer(c.later(429, "too many requests"))
@@ -328,33 +326,56 @@
 			answer(c.later(429, "too many requests"))
 			return
 		}
-		get := func(kind string, back func(protocol.StoreResult)) {
-			c.call(bookkeeping.RankUser, &protocol.StoreCall{Op: protocol.StoreGet, Key: bookkeeping.Key(kind, id)}, back)
-		}
-		get(bookkeeping.KindJob, func(r protocol.StoreResult) {
-			var a bookkeeping.Answer
-			switch {
-			case r.Outcome == protocol.OK && protocol.Unmarshal(r.Item.Value, &a) == nil:
-				c.view.finals.add(id, a.Status)
-				answer(c.final(id, a.Status))
-			case r.Outcome == protocol.NotFound:
-				get(bookkeeping.KindOpen, func(r protocol.StoreResult) {
-					switch r.Outcome {
-					case protocol.OK:
-						answer(Reply{Status: 200, Body: protocol.MustMarshal(&protocol.JobStatus{ID: id, Status: protocol.JobPending})})
-					case protocol.NotFound:
-						answer(errorReply(404, "no such job"))
-					default:
-						answer(c.later(503, "state service out of reach"))
-					}
-				})
-			default:
-				answer(c.later(503, "state service out of reach"))
-			}
+		c.readJob(id, answer)
+	})
+}
+
+// readJob asks the store for a job's final answer, then for its open record, so that a
+// record which this mirror can't read is still known, and once more for the final
+// answer: the job may have ended between the two.
+func (c *Core) readJob(id string, answer func(Reply)) {
+	c.readFinal(id, answer, func() {
+		c.readOpen(id, answer, func() {
+			c.readFinal(id, answer, func() { answer(errorReply(404, "no such job")) })
 		})
 	})
 }
 
+// readFinal answers with a job's final state, or goes on if the store has none.
+func (c *Core) readFinal(id string, answer func(Reply), none func()) {
+	c.readRecord(bookkeeping.KindJob, id, answer, none, func(value protocol.Raw) {
+		var a bookkeeping.Answer
+		if protocol.Unmarshal(value, &a) != nil {
+			answer(c.later(503, "final state can't be read"))
+			return
+		}
+		c.view.finals.add(id, a.Status)
+		answer(c.final(id, a.Status))
+	})
+}
+
+// readOpen answers for a job that has an open record, or goes on if it has none.
+func (c *Core) readOpen(id string, answer func(Reply), none func()) {
+	c.readRecord(bookkeeping.KindOpen, id, answer, none, func(protocol.Raw) {
+		answer(Reply{Status: 200, Body: protocol.MustMarshal(&protocol.JobStatus{ID: id, Status: protocol.JobPending})})
+	})
+}
+
+// readRecord reads a job's record of a kind; without the store it answers at once.
+func (c *Core) readRecord(kind, id string, answer func(Reply), none func(), found func(protocol.Raw)) {
+	call := &protocol.StoreCall{Op: protocol.StoreGet, Key: bookkeeping.Key(kind, id)}
+	c.call(bookkeeping.RankUser, call, func(r protocol.StoreResult) {
+		switch r.Outcome {
+		case protocol.OK:
+			found(r.Item.Value)
+		case protocol.NotFound:
+			none()
+		default:
+			answer(c.later(503, "state service out of reach"))
+		}
+	})
+}
+
 func (c *Core) onPoll(id string, answer func(Reply)) {
 	if !protocol.ValidJobID(id) {
 		answer(errorReply(404, "no such job"))
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -29,7 +29,9 @@
 	// LoseAnswer, if set, tells whether a commit that was applied gets no answer.
 	LoseAnswer func(*protocol.Txn) bool
 	// Delay, if set, has a commit applied that much later, with no answer.
-	Delay     func(*protocol.Txn) micros.T
+	Delay func(*protocol.Txn) micros.T
+	// Slow, if set, has answers come that much later.
+	Slow      func() micros.T
 	Throttled int
 	// Calls counts what was let through by kind, Changes the puts and deletes,
 	// Conflicts the commits that changed nothing.
@@ -128,7 +130,12 @@
 		}
 	}
 	s.Sim.After(call.Within, func() { answer(protocol.StoreResult{}) })
-	s.Sim.After(2*micros.Millisecond, func() { s.handle(caller, &call, answer) })
+	reply := answer
+	if s.Slow != nil {
+		late := s.Slow()
+		reply = func(r protocol.StoreResult) { s.Sim.After(late, func() { answer(r) }) }
+	}
+	s.Sim.After(2*micros.Millisecond, func() { s.handle(caller, &call, reply) })
 }
 
 func (s *Store) handle(caller string, c *protocol.StoreCall, answer func(protocol.StoreResult)) {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -29,6 +29,7 @@
 	// Send carries a report to a node; back gets status 0 for no response.
 	Send func(w *Worker, node string, body []byte, back func(status int, reply []byte))
 
+	RunOf    map[string]micros.T // tasks that run for another time than their job's others
 	Check    *Checker
 	Starts   map[string]int
 	Finished map[string]bool
@@ -65,7 +66,7 @@
 // NewFleet starts without workers.
 func NewFleet(sim *Sim, report, lease micros.T, nodes []string, check *Checker) *Fleet {
 	return &Fleet{Sim: sim, Report: report, Lease: lease, Nodes: nodes, Jobs: map[string]JobInfo{},
-		Workers: map[string]*Worker{}, At: map[string]*Worker{}, Check: check,
+		Workers: map[string]*Worker{}, At: map[string]*Worker{}, Check: check, RunOf: map[string]micros.T{},
 		Starts: map[string]int{}, Finished: map[string]bool{}}
 }
 
@@ -292,6 +293,9 @@
 			w.begin(c.Task)
 			gen, task := n.gen, c.Task
 			run := job.Run
+			if own, set := f.RunOf[task]; set {
+				run = own
+			}
 			if w.Sick || job.Fails {
 				run = 500 * micros.Millisecond
 			}
