Teams' limits: a lowering in doubt binds at once; what nobody can use goes to who lacks a task's worth

Found by the random scenarios, each with a test (TestMeetings, 'full teams ...'; TestRandomFaults): - quota: a controller gave back some of its share, got no answer, assigned tasks under the old record and had the share taken away when the write was carried out late. The smaller of the two counts now until the record has another version, and the record is written anew to settle it. - left waiting: rests of shares at several controllers added up to a task's worth that none could use, or a controller without machines took the share back again and again.

--- a/internal/coordination/combined_failures_test.go
+++ b/internal/coordination/combined_failures_test.go
@@ -107,8 +107,8 @@
 
 // fullTeams fills every team up to its limit.
 func fullTeams(s *scenario) {
-	for range 4 {
-		s.add(150*sec, jobOf{"pips": 8, "cores": 1.0, "crew": "tight"})
+	for range 10 {
+		s.add(150*sec, jobOf{"pips": 4, "cores": 1.0, "crew": "tight"})
 	}
 }
 
@@ -125,9 +125,18 @@
 		{name: "writes come late, users look closely", closeLook: true, faults: []fault{
 			submissions(50*sec, sec/2, 40*sec, oneTask), lateWrites(50*sec, 0.2, 50*sec), cancelNow(60*sec, 4, 0), crash(75*sec, leader, sec)}},
 		{name: "full teams, cancellations, hanging machines, a new leader", prepare: fullTeams, faults: []fault{
-			cancelNow(60*sec, 6, 10*sec), crash(61*sec, leader, 4*sec), cancelNow(90*sec, 6, 20*sec), crash(90*sec, leader, sec/2)}},
+			cancelTeam(60*sec, "tight", 2, 10*sec), crash(61*sec, leader, 4*sec), cancelTeam(90*sec, "tight", 2, 20*sec), crash(90*sec, leader, sec/2),
+			cancelTeam(120*sec, "tight", 2, 9*sec), crashAll(121*sec, sec/2)}},
 		{name: "full teams, cancellations, machines cut off, a new leader", prepare: fullTeams, faults: []fault{
-			machineCut(60*sec, 6, 25*sec), cancelNow(60*sec+sec/2, 6, 0), crash(61*sec, leader, 4*sec), machineCut(100*sec, 6, 8*sec), cancelNow(101*sec, 6, 0), crash(102*sec, leader, sec)}},
+			machineCut(60*sec, 10, 25*sec), cancelTeam(60*sec+sec/2, "tight", 2, 0), crash(61*sec, leader, 4*sec), machineCut(100*sec, 10, 8*sec),
+			cancelTeam(101*sec, "tight", 2, 0), crash(102*sec, leader, sec)}},
+		{name: "full teams, cancellations, lost answers, new leaders", prepare: fullTeams, faults: []fault{
+			lostAnswers(55*sec, 0.4, 60*sec), cancelTeam(60*sec, "tight", 2, 5*sec), crash(61*sec, leader, sec), cancelTeam(75*sec, "tight", 1, 0), crash(76*sec, leader, 10*sec),
+			lateWrites(100*sec, 0.3, 40*sec), cancelTeam(105*sec, "tight", 2, 15*sec), crash(106*sec, leader, sec)}},
+		{name: "full teams, their shares are written late", prepare: fullTeams, faults: []fault{
+			lateShares(45*sec, 100*sec), submissions(45*sec, sec, 90*sec, func(s *scenario) {
+				s.add(2*sec+s.jitter(8*sec), jobOf{"pips": 1 + s.sim.Rand.IntN(3), "cores": 1.0, "crew": "tight", "borrowed": true})
+			}), cancelTeam(60*sec, "tight", 4, 0), cancelTeam(90*sec, "tight", 4, 0)}},
 		{name: "cancellations while work changes hands", faults: []fault{
 			crash(60*sec, following(1), 20*sec), cancelNow(66*sec, 3, 0), cancelNow(68*sec, 3, 0), cancelNow(69*sec, 3, 0), cancelNow(82*sec, 3, 0)}},
 		{name: "cancellations while a cut-off controller's work changes hands", faults: []fault{
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -103,32 +103,37 @@
 	catalogAt micros.T
 	catalogIn bool
 
-	askers     []asker // answers that wait for a mirror no older than their request
-	catching   bool    // a watch that doesn't wait is in flight for them
-	catchAt    micros.T
-	watchSent  micros.T // when the watch in flight was sent
-	liveShare  int      // live controllers that the budgets are shared by
-	boost      float64  // how much more than its even part of them this one uses
-	refusedAt  micros.T // when a call was last throttled
-	refused    int      // calls that were throttled when that was last looked at
-	pages      map[string]*pageState
-	fresh      map[string]*bookkeeping.Page // new pages that the mirror hasn't yet
-	pageSeq    int
-	turnAt     micros.T
-	served     float64 // CPUs that all services hold
-	orphanAt   micros.T
-	turnJobs   map[string]bool   // jobs with tasks assigned by the turn under way
-	takeAt     micros.T          // when tasks may change their part again
-	ownAt      micros.T          // when a machine's claimant may be changed again
-	dirty      bool              // a turn may find something to do
-	crowds     map[string]*crowd // by team, its submissions of late
-	arrivals   map[string]*arrival
-	claimSeen  map[string]claimSeen
-	claiming   map[string]bool // pages being taken over
-	jobBusy    map[string]bool // jobs with a change of their record in flight
-	accepted   map[string]uint64
-	partBusy   bool
-	teamShort  map[string]shortage // what assignments lacked of a team's share
+	askers    []asker // answers that wait for a mirror no older than their request
+	catching  bool    // a watch that doesn't wait is in flight for them
+	catchAt   micros.T
+	watchSent micros.T // when the watch in flight was sent
+	liveShare int      // live controllers that the budgets are shared by
+	boost     float64  // how much more than its even part of them this one uses
+	refusedAt micros.T // when a call was last throttled
+	refused   int      // calls that were throttled when that was last looked at
+	pages     map[string]*pageState
+	fresh     map[string]*bookkeeping.Page // new pages that the mirror hasn't yet
+	pageSeq   int
+	turnAt    micros.T
+	served    float64 // CPUs that all services hold
+	orphanAt  micros.T
+	turnJobs  map[string]bool   // jobs with tasks assigned by the turn under way
+	takeAt    micros.T          // when tasks may change their part again
+	ownAt     micros.T          // when a machine's claimant may be changed again
+	dirty     bool              // a turn may find something to do
+	crowds    map[string]*crowd // by team, its submissions of late
+	arrivals  map[string]*arrival
+	claimSeen map[string]claimSeen
+	claiming  map[string]bool // pages being taken over
+	jobBusy   map[string]bool // jobs with a change of their record in flight
+	accepted  map[string]uint64
+	partBusy  bool
+	teamShort map[string]shortage // what assignments lacked of a team's share
+
+	inDoubt      []sharesInDoubt
+	lackingSince map[string]micros.T // teams of whose limit we lack a task's worth
+	peerLacks    map[string]micros.T // by team, when a peer last said the same of itself
+
 	jobState   map[string]*jobState
 	bias       map[string]float64 // by class: log of run time over estimate, lately
 	leader     leaderState
@@ -153,6 +158,7 @@
 		peerOK: map[string]micros.T{}, peerSeen: map[string]micros.T{}, peerUsers: map[string]micros.T{}, peerFails: map[string]map[string]int{}, peerReach: map[string]Reach{}, deadSince: map[string]micros.T{},
 		pages: map[string]*pageState{}, fresh: map[string]*bookkeeping.Page{}, crowds: map[string]*crowd{}, arrivals: map[string]*arrival{}, claimSeen: map[string]claimSeen{},
 		claiming: map[string]bool{}, jobBusy: map[string]bool{}, accepted: map[string]uint64{}, teamShort: map[string]shortage{},
+		lackingSince: map[string]micros.T{}, peerLacks: map[string]micros.T{},
 		jobState: map[string]*jobState{}, bias: map[string]float64{}, sightings: map[string]*sighting{},
 		preempting: map[string]*preemption{}, givenBack: map[string][]string{}, zoneCut: map[string]micros.T{}, emptyAt: map[string]micros.T{}, closedAt: map[string]micros.T{},
 	}
--- a/internal/coordination/faults_standin_test.go
+++ b/internal/coordination/faults_standin_test.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"pipitgap/internal/bookkeeping"
 	"pipitgap/internal/micros"
 	"pipitgap/internal/protocol"
 	"pipitgap/internal/standin"
@@ -166,6 +167,21 @@
 	}}
 }
 
+// lateShares has every second change of a controller's part of the limits, by itself,
+// get no answer and be carried out late.
+func lateShares(at, d micros.T) fault {
+	return fault{at, "late shares", func(s *scenario) {
+		s.store.Delay = func(t *protocol.Txn) micros.T {
+			kind, _, _ := bookkeeping.SplitKey(t.Then[0].Put)
+			if len(t.Then) == 1 && kind == bookkeeping.KindPart && s.sim.Rand.IntN(2) == 0 {
+				return 3*sec + s.jitter(9*sec)
+			}
+			return 0
+		}
+		s.sim.After(d, func() { s.store.Delay = nil })
+	}}
+}
+
 // lostAnswers has a share of the commits be carried out at once, their answers lost.
 func lostAnswers(at micros.T, share float64, d micros.T) fault {
 	return fault{at, "lost answers", func(s *scenario) {
@@ -235,14 +251,45 @@
 	}}
 }
 
-func (s *scenario) hangMachineOf(job string, d micros.T) {
+// cancelTeam has users of a team call off jobs that run; their machines hang.
+func cancelTeam(at micros.T, team string, n int, hangFor micros.T) fault {
+	return fault{at, "cancellations of " + team, func(s *scenario) {
+		left := n
+		for _, u := range s.users {
+			if left > 0 && u.accepted && !u.over && !u.cancelling && s.fleet.Jobs[u.id].Team == team && s.check.Running(u.id) > 0 {
+				left--
+				for _, w := range s.machinesOf(u.id) {
+					if hangFor > 0 && !w.Hanging {
+						w.Hang(hangFor)
+					}
+				}
+				s.sim.After(s.jitter(sec/5), u.cancel)
+			}
+		}
+	}}
+}
+
+// machinesOf lists the machines that hold tasks of a job.
+func (s *scenario) machinesOf(job string) []*standin.Worker {
+	var out []*standin.Worker
 	for _, id := range sortedKeys(s.fleet.Workers) {
 		w := s.fleet.Workers[id]
+		holds := false
 		for task := range w.Tasks {
-			if jobOfTask(task) == job && !w.Hanging && !w.Machine.Gone {
-				w.Hang(d)
-				return
-			}
+			holds = holds || jobOfTask(task) == job
+		}
+		if holds && !w.Machine.Gone {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
+func (s *scenario) hangMachineOf(job string, d micros.T) {
+	for _, w := range s.machinesOf(job) {
+		if !w.Hanging {
+			w.Hang(d)
+			return
 		}
 	}
 }
--- a/internal/coordination/limits.go
+++ b/internal/coordination/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"pipitgap/internal/bookkeeping"
 	"pipitgap/internal/micros"
@@ -10,10 +11,13 @@
 
 // What a part may use of the teams' limits.
 
-// shortage is what assignments lacked of a part's share: for one task, and for all.
-type shortage struct{ least, all amount }
+// shortage is what assignments lacked of a part's share.
+type shortage struct {
+	least, all amount // for one task, and for all
+	usable     bool   // a machine has room for one of them
+}
 
-// partShare is what a part may use of a team's limit.
+// partShare is what a part may use of a team's limit, by its record.
 func (c *Core) partShare(part, team string) amount {
 	if p := c.view.parts[part]; p != nil {
 		a := p.rec.Shares[team]
@@ -22,6 +26,34 @@
 	return amount{mem: math.Inf(1)}
 }
 
+// sharesInDoubt are shares of ours that a commit without an answer may yet bring about:
+// it is conditional on a version of our record, and nothing else changes that version
+// when tasks are assigned under it.
+type sharesInDoubt struct {
+	version uint64
+	rec     bookkeeping.Part
+}
+
+// ownShare is what we may use of a team's limit, whatever becomes of commits in doubt.
+func (c *Core) ownShare(team string) amount {
+	share := c.partShare(c.node, team)
+	version := c.view.versionOf(partOf(c.node))
+	for _, d := range c.inDoubt {
+		if d.version == version {
+			share.cpus = min(share.cpus, exact(d.rec.Shares[team].CPUs))
+			share.gpus = min(share.gpus, exact(d.rec.Shares[team].GPUs))
+		}
+	}
+	return share
+}
+
+// settleShares forgets commits in doubt that were conditional on another version than
+// that of our record now.
+func (c *Core) settleShares() {
+	version := c.view.versionOf(partOf(c.node))
+	c.inDoubt = slices.DeleteFunc(c.inDoubt, func(d sharesInDoubt) bool { return d.version != version })
+}
+
 // partUse is what attempts in our pages take of a team's limit, at most. What a
 // commit in doubt may have assigned counts as well, and so do pages of an earlier
 // life of ours that we haven't claimed again yet: they are within the same share.
@@ -47,7 +79,7 @@
 	if !limit.limited() {
 		return room
 	}
-	have, use := c.partShare(c.node, team), c.partUse(team)
+	have, use := c.ownShare(team), c.partUse(team)
 	if limit.CPUsMax > 0 {
 		room.cpus = have.cpus - use.cpus
 	}
@@ -68,6 +100,21 @@
 	return room
 }
 
+// Bounds of how shares of the teams' limits change.
+const (
+	// keptUnused is the part of a team's limit that all controllers together keep beyond
+	// what they use: use goes up and down, and each change of a share is a write.
+	keptUnused = 0.2
+	// nearlyAllocated is the unallocated part of a limit below which unused shares are
+	// given back.
+	nearlyAllocated = 0.15
+	// lackingFor is how long a part lacks some of a limit before it says so: while
+	// machines come up and jobs end, shares move by themselves.
+	lackingFor = 8 * micros.Second
+	// lackNews is how long a peer's word that it lacks some of a limit counts.
+	lackNews = 3 * slowTick
+)
+
 // tendShares raises our shares where assignments lacked some, and gives back what
 // we don't use of a team whose limit is nearly handed out. A raise depends on the
 // records of all parts, a lowering on ours alone; either changes our record, on
@@ -81,71 +128,124 @@
 			return
 		}
 	}
-	key := bookkeeping.Key(bookkeeping.KindPart, c.node)
-	mine := c.view.parts[c.node]
-	next := bookkeeping.Part{Shares: map[string]bookkeeping.Amount{}}
-	version := uint64(0)
-	if mine != nil {
-		version = mine.version
-		for k, v := range mine.rec.Shares {
-			next.Shares[k] = v
-		}
-	}
-	raised, lowered := false, false
+	next, version := c.ownShares()
+	c.settleShares()
+	raised, changed := false, len(c.inDoubt) > 0 // writing them anew settles what became of those
+	lacking := map[string]micros.T{}
 	for i := range c.cfg.Facts.Teams {
 		team := c.cfg.Facts.Teams[i].Name
 		limit, _ := c.team(team)
 		if !limit.limited() {
 			continue
 		}
-		pool := c.pool(team)
-		// Some is kept: use goes up and down, and each change costs the others' too.
-		part := 0.2 / float64(c.liveShare)
-		margin := amount{cpus: part * limit.CPUsMax, gpus: part * limit.GPUsMax}
-		short, wants := c.teamShort[team]
-		if wants && (pool.cpus+slack < short.least.cpus || pool.gpus+slack < short.least.gpus) {
-			// Not enough for a single task here, and what we have left over may be
-			// what another part lacks: several such rests add up to a task.
-			wants, pool = false, amount{}
-			margin = amount{}
-		}
-		if wants {
-			// Half of an even part of what is left goes on top: a raise costs a
-			// change, and what one part has no other can use.
-			part := 1 / (2 * float64(c.liveShare))
-			a := next.Shares[team]
-			grow := func(have, short, pool float64) float64 {
-				return have + min(max(0, pool), max(short, 0)+max(0, pool-short)*part)
-			}
-			before := a
-			if limit.CPUsMax > 0 {
-				a.CPUs = grow(a.CPUs, short.all.cpus, pool.cpus)
+		before := next.Shares[team]
+		after, lacks := c.wantedShare(team, limit, before, now)
+		if lacks {
+			lacking[team] = now
+			if since, lacked := c.lackingSince[team]; lacked {
+				lacking[team] = since
 			}
-			if limit.GPUsMax > 0 {
-				a.GPUs = grow(a.GPUs, short.all.gpus, pool.gpus)
-			}
-			a.CPUs, a.GPUs = exact(a.CPUs), exact(a.GPUs)
-			if a.CPUs > before.CPUs+slack || a.GPUs > before.GPUs+slack {
-				next.Shares[team] = a
-				raised = true
-			}
-			continue
 		}
-		if pool.cpus > 0.15*limit.CPUsMax && (limit.GPUsMax == 0 || pool.gpus > 0.15*limit.GPUsMax) || next.Shares[team] == (bookkeeping.Amount{}) {
+		if after == before {
 			continue
 		}
-		use := c.partUse(team)
-		a, before := next.Shares[team], next.Shares[team]
-		a.CPUs, a.GPUs = max(0, min(a.CPUs, use.cpus+margin.cpus)), max(0, min(a.GPUs, use.gpus+margin.gpus))
-		if a.CPUs < before.CPUs-slack-margin.cpus || a.GPUs < before.GPUs-slack-margin.gpus {
-			next.Shares[team] = a
-			lowered = true
-		}
+		next.Shares[team] = after
+		raised = raised || after.CPUs > before.CPUs+slack || after.GPUs > before.GPUs+slack
+		changed = true
 	}
+	c.lackingSince = lacking
 	clear(c.teamShort)
-	if !raised && !lowered {
-		return
+	if changed {
+		c.writeShares(next, version, raised)
 	}
+}
+
+// ownShares copies our record of shares and gives its version.
+func (c *Core) ownShares() (next bookkeeping.Part, version uint64) {
+	next.Shares = map[string]bookkeeping.Amount{}
+	if mine := c.view.parts[c.node]; mine != nil {
+		version = mine.version
+		for team, share := range mine.rec.Shares {
+			next.Shares[team] = share
+		}
+	}
+	return next, version
+}
+
+// wantedShare is what our share of a team's limit should become, and whether we lack a
+// task's worth of it that can't be had.
+func (c *Core) wantedShare(team string, limit teamLimit, have bookkeeping.Amount, now micros.T) (want bookkeeping.Amount, lacks bool) {
+	unallocated := c.pool(team)
+	short, wants := c.teamShort[team]
+	at, heard := c.peerLacks[team]
+	contested := heard && now-at < lackNews
+	switch {
+	case wants && (unallocated.cpus+slack < short.least.cpus || unallocated.gpus+slack < short.least.gpus):
+		// Not enough for a single task here, and what we have left over may be
+		// what another part lacks: several such rests add up to a task.
+		return c.loweredShare(team, have, amount{}), short.usable
+	case contested && !short.usable:
+		// Another part could start tasks at once; here they would wait for machines.
+		return c.loweredShare(team, have, amount{}), false
+	case wants:
+		return c.raisedShare(limit, have, short, unallocated), false
+	}
+	if unallocated.cpus > nearlyAllocated*limit.CPUsMax && (limit.GPUsMax == 0 || unallocated.gpus > nearlyAllocated*limit.GPUsMax) {
+		return have, false
+	}
+	part := keptUnused / float64(c.liveShare)
+	return c.loweredShare(team, have, amount{cpus: part * limit.CPUsMax, gpus: part * limit.GPUsMax}), false
+}
+
+// limitLacking lists the teams of whose limit we have lacked a task's worth for so long
+// that the others should give back what they don't use.
+func (c *Core) limitLacking(now micros.T) []string {
+	var out []string
+	for _, team := range sortedKeys(c.lackingSince) {
+		if now-c.lackingSince[team] >= lackingFor {
+			out = append(out, team)
+		}
+	}
+	return out
+}
+
+// raisedShare takes what is lacking, and half of an even part of what is left: a raise
+// costs a change, and what one part has no other can use.
+func (c *Core) raisedShare(limit teamLimit, have bookkeeping.Amount, short shortage, unallocated amount) bookkeeping.Amount {
+	part := 1 / (2 * float64(c.liveShare))
+	grow := func(have, short, left float64) float64 {
+		grown := exact(have + min(max(0, left), max(short, 0)+max(0, left-short)*part))
+		if grown > have+slack {
+			return grown
+		}
+		return have
+	}
+	if limit.CPUsMax > 0 {
+		have.CPUs = grow(have.CPUs, short.all.cpus, unallocated.cpus)
+	}
+	if limit.GPUsMax > 0 {
+		have.GPUs = grow(have.GPUs, short.all.gpus, unallocated.gpus)
+	}
+	return have
+}
+
+// loweredShare gives back what is more than twice a margin above what we use, down to
+// the margin.
+func (c *Core) loweredShare(team string, have bookkeeping.Amount, margin amount) bookkeeping.Amount {
+	use := c.partUse(team)
+	lower := bookkeeping.Amount{
+		CPUs: max(0, min(have.CPUs, use.cpus+margin.cpus)),
+		GPUs: max(0, min(have.GPUs, use.gpus+margin.gpus)),
+	}
+	if lower.CPUs < have.CPUs-slack-margin.cpus || lower.GPUs < have.GPUs-slack-margin.gpus {
+		return lower
+	}
+	return have
+}
+
+// writeShares commits our record. A raise asks for the records of all parts.
+func (c *Core) writeShares(next bookkeeping.Part, version uint64, raised bool) {
+	key := partOf(c.node)
 	t := protocol.Txn{
 		If:   []protocol.Cond{{Key: key, Version: version}},
 		Then: []protocol.Op{{Put: key, Value: protocol.MustMarshal(&next)}},
@@ -160,15 +260,18 @@
 		}
 		for _, n := range sortedKeys(names) {
 			if n != c.node {
-				k := bookkeeping.Key(bookkeeping.KindPart, n)
-				t.If = append(t.If, protocol.Cond{Key: k, Version: c.view.versionOf(k)})
+				t.If = append(t.If, protocol.Cond{Key: partOf(n), Version: c.view.versionOf(partOf(n))})
 			}
 		}
 	}
 	c.partBusy = true
+	doubt := sharesInDoubt{version, next}
 	c.commit(bookkeeping.RankPage, t, func(r protocol.StoreResult) {
 		c.partBusy = false
 		c.dirty = true
+		if r.Outcome == protocol.Unknown {
+			c.inDoubt = append(c.inDoubt, doubt)
+		}
 	})
 }
 
--- a/internal/coordination/membership.go
+++ b/internal/coordination/membership.go
@@ -16,6 +16,7 @@
 	Users       int  // calls of users that wait there for the store
 	Reach       Reach
 	Failing     map[string]int // jobs that fail there: on how many machines
+	LackLimit   []string       // teams of which neither its share nor what is unallocated takes a task
 
 	Cancellations cancellation.Message
 }
@@ -152,7 +153,7 @@
 	failing := c.failing()
 	for _, p := range c.cfg.Known {
 		hint := Hint{Node: c.node, Incarnation: c.inc, StoreOK: ok, Users: c.queue.Waiting(bookkeeping.RankUser),
-			Reach: c.reach(), Failing: failing}
+			Reach: c.reach(), Failing: failing, LackLimit: c.limitLacking(now)}
 		for _, m := range c.cancellations.Messages(p.Node, now, c.view.watched, c.loaded) {
 			hint.Cancellations = m
 			c.env.Peer(p.Node, hint)
@@ -172,5 +173,8 @@
 	if h.Users > manyUsers {
 		c.peerUsers[h.Node] = now
 	}
+	for _, team := range h.LackLimit {
+		c.peerLacks[team] = now
+	}
 	c.learnCancellations(c.cancellations.Receive(h.Node, h.Cancellations))
 }
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -105,8 +105,9 @@
 	sample := len(cands) > fullSearch && len(cands)*len(jobs) > fullWork
 	floating := c.floatingTasks()
 	wall := c.env.Wall()
-	left := map[string]amount{} // of our share of limited teams
-	full := map[likeOf]bool{}   // what no machine has room for in this turn: room only shrinks in it
+	left := map[string]amount{}  // of our share of limited teams
+	full := map[likeOf]bool{}    // what no machine has room for in this turn: room only shrinks in it
+	hasRoom := map[likeOf]bool{} // of what lacks a share of its team's limit: whether it could start here
 	var parts *partRooms
 	elsewhere := false // a job that waits elsewhere has room kept here
 	partKey := bookkeeping.Key(bookkeeping.KindPart, c.node)
@@ -240,7 +241,10 @@
 			continue // nothing is held, stopped or fetched for it
 		}
 		if lacking {
-			c.lacks(spec.Team, j.need, pending, room)
+			if _, asked := hasRoom[kind]; !asked {
+				hasRoom[kind] = roomFor(j, cands) > 0
+			}
+			c.lacks(spec.Team, j.need, pending, room, hasRoom[kind])
 		}
 		if pending == 0 && !spec.Service && !fenced && !elsewhere && !full[kind] && j.waiting() > 0 && c.pressed(j, wall) {
 			// What has an aim to meet and is more urgent than all of ours that follows
@@ -344,8 +348,9 @@
 }
 
 // lacks notes that a part's share of a team's limit keeps tasks waiting.
-func (c *Core) lacks(team string, need amount, tasks int, room amount) {
+func (c *Core) lacks(team string, need amount, tasks int, room amount, usable bool) {
 	s, ok := c.teamShort[team]
+	s.usable = s.usable || usable
 	least := amount{cpus: max(0, need.cpus-room.cpus), gpus: max(0, need.gpus-room.gpus)}
 	if math.IsInf(room.cpus, 1) {
 		least.cpus = 0
--- a/internal/coordination/random_faults_test.go
+++ b/internal/coordination/random_faults_test.go
@@ -59,6 +59,10 @@
 			at = span(warmUp, lastFaultAt)
 		}
 	}
+	if rnd.IntN(2) == 0 {
+		at := span(warmUp, lastFaultAt)
+		faults = append(faults, cancelTeam(at, "tight", 1+rnd.IntN(3), span(sec, 20*sec)), crash(at+span(0, 3*sec), controller(), span(sec/10, 5*sec)))
+	}
 	for range 2 + rnd.IntN(3) {
 		near := faults[rnd.IntN(len(faults))].at
 		hangFor := micros.T(0)
@@ -81,6 +85,9 @@
 			s := newScenario(t, seed)
 			leases[rnd.IntN(len(leases))].apply(s)
 			s.closeLook = rnd.IntN(2) == 0
+			if rnd.IntN(2) == 0 {
+				fullTeams(s)
+			}
 			faults := randomFaults(rnd)
 			s.play(faults, scenarioLength)
 			if t.Failed() {
--- a/internal/coordination/shares.go
+++ b/internal/coordination/shares.go
@@ -232,7 +232,7 @@
 	if n := j.need.count(l); n < room {
 		// A part with machines but without a share of the team's limit would leave
 		// the tasks for ever to one with a share but without machines.
-		c.lacks(spec.Team, j.need, min(room-n, j.waiting()), l)
+		c.lacks(spec.Team, j.need, min(room-n, j.waiting()), l, true)
 		room = n
 	}
 	if room == 0 {
--- a/internal/standin/checker.go
+++ b/internal/standin/checker.go
@@ -195,8 +195,8 @@
 	if method == "POST" && target == root {
 		q.job = k.noteSubmission(body)
 	}
-	if q.abort && k.jobs[q.job] != nil {
-		k.jobs[q.job].cancelSent = true
+	if q.abort {
+		k.job(q.job).cancelSent = true // it may be on its way before the submission arrives
 	}
 	return q
 }
--- a/internal/standin/checker_test.go
+++ b/internal/standin/checker_test.go
@@ -116,6 +116,11 @@
 		}, ""},
 		{"done after cancelled", nil, func(d *watchedDay) { d.cancel(); d.poll(protocol.JobDone) }, WentBack},
 		{"cancelled by nobody", nil, func(d *watchedDay) { d.poll(protocol.JobCancelled) }, WentBack},
+		{"cancelled on the way", nil, func(d *watchedDay) {
+			q := d.Ask("POST", "/v2/runs/j-2/abort", nil)
+			d.tell("POST", "/v2/runs", submission("j-2", nil), 201, protocol.JobPending)
+			q.Answer(200, protocol.MustMarshal(&protocol.JobStatus{Status: protocol.JobCancelled}))
+		}, ""},
 		{"done too early", nil, func(d *watchedDay) { d.Finish("j-1/0"); d.poll(protocol.JobDone) }, NotDone},
 		{"unknown after accepted", nil, func(d *watchedDay) { d.tell("GET", "/v2/runs/j-1", nil, 404, "") }, Forgotten},
 		{"refused after accepted", nil, func(d *watchedDay) { d.tell("POST", "/v2/runs", submission("j-1", nil), 422, "") }, Forgotten},
