The mirror takes no change that its watch has passed; a returned controller's limits aren't dropped

Shares of a controller that is cut off from its machines were dropped by another, on a view that need not hold all that it had assigned: it lowers them itself now, and a drop asks that it is no member.

--- a/internal/coordination/limits.go
+++ b/internal/coordination/limits.go
@@ -184,6 +184,8 @@
 		// Not enough for a single task here, and what we have left over may be
 		// what another part lacks: several such rests add up to a task.
 		return c.loweredShare(team, have, amount{}), short.usable
+	case c.lostAt != 0:
+		return c.loweredShare(team, have, amount{}), false // nothing can start here
 	case contested && !short.usable:
 		// Another part could start tasks at once; here they would wait for machines.
 		return c.loweredShare(team, have, amount{}), false
@@ -275,10 +277,11 @@
 	})
 }
 
-// freeShares gives back what a part that has gone, or is cut off from its machines, still
+// freeShares gives back what a controller that has gone still
 // has of the teams' limits once all of its pages are others': its share went with them
 // but for what it had kept for later, and a team at its limit lacked that for as long as
-// the controller was away. Whatever it may yet write asks for the record that is dropped.
+// the controller was away. Whatever it may yet write asks for the record that is dropped,
+// and it must not have come back: one that is cut off from its machines lowers its own.
 func (c *Core) freeShares(now micros.T) {
 	if c.storeDown || c.partBusy || !c.leaseHeld(now) {
 		return
@@ -287,7 +290,7 @@
 	for _, n := range sortedKeys(c.view.parts) {
 		p := c.view.parts[n]
 		if n == c.node || home(n, able) != c.node || c.jobBusy[partOf(n)] || c.view.watched < p.version ||
-			!c.cutOff(n, now) && (c.isLive(n) || now-c.gone(n, now) <= micros.Second) {
+			c.isLive(n) || now-c.gone(n, now) <= micros.Second {
 			continue
 		}
 		left := false
@@ -300,7 +303,7 @@
 		key := partOf(n)
 		c.jobBusy[key] = true
 		c.commit(bookkeeping.RankPage, protocol.Txn{
-			If:   []protocol.Cond{{Key: key, Version: p.version}},
+			If:   []protocol.Cond{{Key: key, Version: p.version}, {Key: bookkeeping.Key(bookkeeping.KindMember, n)}},
 			Then: []protocol.Op{{Delete: key}},
 		}, func(r protocol.StoreResult) {
 			delete(c.jobBusy, key)
--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -255,6 +255,11 @@
 	var todo []change
 	for _, e := range events {
 		v.newest = max(v.newest, e.Version)
+		if e.Version <= v.watched {
+			// An answer that comes after a newer one: the watch has passed this change,
+			// and what it wrote may have been deleted since.
+			continue
+		}
 		key := e.Put + e.Delete
 		kind, name, ok := bookkeeping.SplitKey(key)
 		if !ok {
