--- a/internal/bookkeeping/bookkeeping_test.go
+++ b/internal/bookkeeping/bookkeeping_test.go
@@ -11,17 +11,17 @@
 	"pipitgap/internal/protocol"
 )
 
-// TestPages: what is written reads the same, whatever is done to a page in
+// TestPages: what is written reads the same, whatever is done to a shard in
 // between; its size is never above what was bounded when its tasks were assigned.
 func TestPages(t *testing.T) {
 	rnd := rand.New(rand.NewPCG(1, 2))
 	for round := 0; round < 40; round++ {
-		p := &Page{Owner: "gapnode-2", Incarnation: 1 << 47, Claim: 3, Machines: map[string]*PageMachine{}, Jobs: map[string]*PageJob{}}
+		p := &Shard{Owner: "gapnode-2", Incarnation: 1 << 47, Claim: 3, Machines: map[string]*ShardMachine{}, Jobs: map[string]*ShardJob{}}
 		var ids []string
 		for i := 0; i < 12; i++ {
 			id := fmt.Sprintf("i-%06d", 231+i)
 			ids = append(ids, id)
-			p.Add(id, PageMachine{Type: "m16", Zone: []string{"rack-a", "rack-b"}[i%2], Spot: i%3 == 0, Endpoint: "10.1.0.232:9000", State: MachineOpen, Claim: uint64(i % 5)})
+			p.Add(id, ShardMachine{Type: "m16", Zone: []string{"rack-a", "rack-b"}[i%2], Spot: i%3 == 0, Endpoint: "10.1.0.232:9000", State: MachineOpen, Claim: uint64(i % 5)})
 		}
 		type key struct {
 			job  string
@@ -49,11 +49,11 @@
 			if err != nil || len(b) > size || size > bound {
 				t.Fatalf("%d bytes as JSON, %d counted, %d bounded, %v", len(b), size, bound, err)
 			}
-			got, err := DecodePage(raw, p)
+			got, err := DecodeShard(raw, p)
 			if err != nil {
 				t.Fatal(err)
 			}
-			fresh, err := DecodePage(raw, nil)
+			fresh, err := DecodeShard(raw, nil)
 			if err != nil || !reflect.DeepEqual(strip(got), strip(fresh)) || !reflect.DeepEqual(strip(fresh), strip(q)) {
 				t.Fatalf("%v: read %+v, written %+v", err, fresh, q)
 			}
@@ -72,9 +72,9 @@
 					got = q
 					break
 				}
-				got.Add("i-new", PageMachine{Type: "m16", Zone: "rack-a", Endpoint: "10.1.0.1:9000", State: MachineQuiet})
+				got.Add("i-new", ShardMachine{Type: "m16", Zone: "rack-a", Endpoint: "10.1.0.1:9000", State: MachineQuiet})
 				raw, _ := got.Encode()
-				again, err := DecodePage(raw, p)
+				again, err := DecodeShard(raw, p)
 				if err != nil || !reflect.DeepEqual(strip(again), strip(got)) {
 					t.Fatalf("%v: a number that was given again is misread", err)
 				}
@@ -85,14 +85,14 @@
 	}
 	for _, text := range []string{"0j-1 d5-2", "0j-1 0@1:0", "0j-1 d0;3 d1", "0j-1 d999999999", "0j-1 d1,0", " d1", "4j-1 d1", "0 d1"} {
 		raw := protocol.MustMarshal(&pageRecord{Jobs: text})
-		if _, err := DecodePage(raw, nil); err == nil {
+		if _, err := DecodeShard(raw, nil); err == nil {
 			t.Errorf("a page with %q is read", text)
 		}
 	}
 }
 
-// strip leaves what counts of a page.
-func strip(p *Page) map[string]any {
+// strip leaves what counts of a shard.
+func strip(p *Shard) map[string]any {
 	out := map[string]any{"machines": p.Machines, "head": []any{p.Owner, p.Incarnation, p.Claim}}
 	for id, m := range p.Machines {
 		if m.Claim <= p.Claim {
@@ -112,17 +112,17 @@
 
 // TestReshare: ranges change hands whole, in part and across several.
 func TestReshare(t *testing.T) {
-	all := []Share{{First: 0, End: 10, Part: "a"}, {First: 10, End: 20, Part: "b"}}
+	all := []Share{{First: 0, End: 10, Partition: "a"}, {First: 10, End: 20, Partition: "b"}}
 	cases := []struct {
 		first, end int
 		part       string
 		want       []Share
 	}{
-		{0, 10, "b", []Share{{First: 0, End: 20, Part: "b"}}},
-		{4, 10, "c", []Share{{First: 0, End: 4, Part: "a"}, {First: 4, End: 10, Part: "c"}, {First: 10, End: 20, Part: "b"}}},
-		{5, 15, "c", []Share{{First: 0, End: 5, Part: "a"}, {First: 5, End: 15, Part: "c"}, {First: 15, End: 20, Part: "b"}}},
-		{12, 14, "a", []Share{{First: 0, End: 10, Part: "a"}, {First: 10, End: 12, Part: "b"}, {First: 12, End: 14, Part: "a"}, {First: 14, End: 20, Part: "b"}}},
-		{0, 20, "c", []Share{{First: 0, End: 20, Part: "c"}}},
+		{0, 10, "b", []Share{{First: 0, End: 20, Partition: "b"}}},
+		{4, 10, "c", []Share{{First: 0, End: 4, Partition: "a"}, {First: 4, End: 10, Partition: "c"}, {First: 10, End: 20, Partition: "b"}}},
+		{5, 15, "c", []Share{{First: 0, End: 5, Partition: "a"}, {First: 5, End: 15, Partition: "c"}, {First: 15, End: 20, Partition: "b"}}},
+		{12, 14, "a", []Share{{First: 0, End: 10, Partition: "a"}, {First: 10, End: 12, Partition: "b"}, {First: 12, End: 14, Partition: "a"}, {First: 14, End: 20, Partition: "b"}}},
+		{0, 20, "c", []Share{{First: 0, End: 20, Partition: "c"}}},
 	}
 	for _, tc := range cases {
 		if got := Reshare(all, tc.first, tc.end, tc.part); !reflect.DeepEqual(got, tc.want) {
@@ -163,49 +163,49 @@
 	if got, _ = drain(1600 * micros.Millisecond); !reflect.DeepEqual(got, []Rank{RankUser, RankRest}) {
 		t.Fatalf("%v", got)
 	}
-	// Users go before pages, but don't keep them waiting for long.
+	// Users go before shards, but don't keep them waiting for long.
 	since = 3*micros.Second - pageWaits
-	add(RankPage, 1)
+	add(RankShard, 1)
 	add(RankUser, 1)
-	if got, _ = drain(3 * micros.Second); !reflect.DeepEqual(got, []Rank{RankUser, RankPage}) {
+	if got, _ = drain(3 * micros.Second); !reflect.DeepEqual(got, []Rank{RankUser, RankShard}) {
 		t.Fatalf("%v", got)
 	}
 	// Past that they take turns: neither keeps the other waiting, however many come.
 	since -= 2
 	for i := 0; i < 2; i++ {
-		add(RankPage, 0)
+		add(RankShard, 0)
 		add(RankUser, 0)
 	}
-	if got, _ = drain(4 * micros.Second); !reflect.DeepEqual(got, []Rank{RankUser, RankPage, RankUser, RankPage}) {
+	if got, _ = drain(4 * micros.Second); !reflect.DeepEqual(got, []Rank{RankUser, RankShard, RankUser, RankShard}) {
 		t.Fatalf("%v", got)
 	}
-	// A guest's call waits for all others, but among pages it has its turn.
+	// A swarm's call waits for all others, but among shards it has its turn.
 	since = 4 * micros.Second
 	for i := 0; i < 6; i++ {
-		add(RankGuest, 0)
-		add(RankPage, 0)
+		add(RankSwarm, 0)
+		add(RankShard, 0)
 	}
 	add(RankUser, 0)
-	if got, _ = drain(60 * micros.Second); !reflect.DeepEqual(got, []Rank{RankUser, RankGuest, RankPage, RankPage}) {
+	if got, _ = drain(60 * micros.Second); !reflect.DeepEqual(got, []Rank{RankUser, RankSwarm, RankShard, RankShard}) {
 		t.Fatalf("%v", got)
 	}
-	if got, _ = drain(61 * micros.Second); !reflect.DeepEqual(got, []Rank{RankGuest, RankPage, RankPage, RankGuest}) {
+	if got, _ = drain(61 * micros.Second); !reflect.DeepEqual(got, []Rank{RankSwarm, RankShard, RankShard, RankSwarm}) {
 		t.Fatalf("%v", got)
 	}
 	drain(62 * micros.Second)
 	drain(63 * micros.Second)
-	// The answers of jobs that are done take turns with pages, however many there are.
+	// The answers of jobs that are done take turns with shards, however many there are.
 	since = 63 * micros.Second
 	for i := 0; i < 4; i++ {
 		add(RankEnd, 0)
 	}
-	add(RankPage, 0)
-	add(RankPage, 0)
+	add(RankShard, 0)
+	add(RankShard, 0)
 	add(RankUser, 0)
-	if got, _ = drain(64 * micros.Second); !reflect.DeepEqual(got, []Rank{RankUser, RankEnd, RankPage, RankEnd}) {
+	if got, _ = drain(64 * micros.Second); !reflect.DeepEqual(got, []Rank{RankUser, RankEnd, RankShard, RankEnd}) {
 		t.Fatalf("%v", got)
 	}
-	if got, _ = drain(65 * micros.Second); !reflect.DeepEqual(got, []Rank{RankPage, RankEnd, RankEnd}) {
+	if got, _ = drain(65 * micros.Second); !reflect.DeepEqual(got, []Rank{RankShard, RankEnd, RankEnd}) {
 		t.Fatalf("%v", got)
 	}
 	// What was throttled goes again before the others of its rank, after a pause.
--- a/internal/bookkeeping/queue.go
+++ b/internal/bookkeeping/queue.go
@@ -50,32 +50,32 @@
 	RankClaim
 	RankCancel
 	RankUser
-	RankPage
+	RankShard
 	RankEnd // answers of jobs that are done
 	RankRest
-	RankGuest // what many small jobs of one team would otherwise crowd the rest out with
+	RankSwarm // what many small jobs of one team would otherwise crowd the rest out with
 	ranks
 )
 
-// pageWaits is how long users go before pages: a burst of submissions is over
+// pageWaits is how long users go before shards: a burst of submissions is over
 // sooner than that, a flood must not keep tasks from starting and ending. From then
-// on they go in turns: pages that always waited longer kept every user of the one
+// on they go in turns: shards that always waited longer kept every user of the one
 // controller that was left waiting for five seconds.
 const pageWaits = 300 * micros.Millisecond
 
-// guestTurns is how many pages go before a guest's call while both wait: it must not
+// swarmTurns is how many shards go before a swarm's call while both wait: it must not
 // wait for ever either, but tasks that start and end come first.
-const guestTurns = 2
+const swarmTurns = 2
 
-// work tells whether a page goes next or the answer of a job that is done: they take
-// turns. A page that held fifty small jobs had as many answers to write, of two changes
-// each, and the next pages, with all that starts and the machines that had come up,
+// work tells whether a shard goes next or the answer of a job that is done: they take
+// turns. A shard that held fifty small jobs had as many answers to write, of two changes
+// each, and the next shards, with all that starts and the machines that had come up,
 // waited behind them for five seconds.
 func (q *Queue) work() Rank {
-	if len(q.waiting[RankEnd]) > 0 && (q.endTurn || len(q.waiting[RankPage]) == 0) {
+	if len(q.waiting[RankEnd]) > 0 && (q.endTurn || len(q.waiting[RankShard]) == 0) {
 		return RankEnd
 	}
-	return RankPage
+	return RankShard
 }
 
 // Call waits in the queue.
@@ -93,9 +93,9 @@
 	InFlight      int
 	MaxInFlight   int
 	pausedUntil   micros.T
-	userTurn      bool // of users and pages, a user's call went last
-	endTurn       bool // of pages and answers, a page went last
-	pageTurns     int  // of these since a guest's call went
+	userTurn      bool // of users and shards, a user's call went last
+	endTurn       bool // of shards and answers, a shard went last
+	shardTurns    int  // of these since a swarm's call went
 	waiting       [ranks][]Call
 }
 
@@ -129,10 +129,10 @@
 		if w := q.work(); Rank(r) == RankUser && q.Age(w, now) > pageWaits && (q.userTurn || len(q.waiting[RankUser]) == 0) {
 			r = int(w)
 		}
-		if Rank(r) == RankPage {
+		if Rank(r) == RankShard {
 			r = int(q.work())
-			if q.pageTurns >= guestTurns && len(q.waiting[RankGuest]) > 0 {
-				r = int(RankGuest)
+			if q.shardTurns >= swarmTurns && len(q.waiting[RankSwarm]) > 0 {
+				r = int(RankSwarm)
 			}
 		}
 		if len(q.waiting[r]) == 0 {
@@ -155,11 +155,11 @@
 		switch Rank(r) {
 		case RankUser:
 			q.userTurn = true
-		case RankPage, RankEnd:
-			q.userTurn, q.endTurn = false, Rank(r) == RankPage
-			q.pageTurns++
-		case RankGuest:
-			q.pageTurns = 0
+		case RankShard, RankEnd:
+			q.userTurn, q.endTurn = false, Rank(r) == RankShard
+			q.shardTurns++
+		case RankSwarm:
+			q.shardTurns = 0
 		}
 		return c, true, 0
 	}
--- a/internal/bookkeeping/records.go
+++ b/internal/bookkeeping/records.go
@@ -15,15 +15,15 @@
 
 // Kinds of records, as they stand in the keys.
 const (
-	KindJob     = "job"     // the final answer for a job, kept for ever
-	KindOpen    = "open"    // an unfinished job: its description and shares
-	KindPage    = "page"    // some machines of a part with all that is on them
-	KindPart    = "part"    // what a part may use of the teams' limits
-	KindType    = "type"    // a machine type, for starts during the cloud's outages
-	KindAsk     = "ask"     // a rental request
-	KindRemoval = "removal" // machines being given back, or proven gone
-	KindMember  = "member"  // a live controller
-	KindLead    = "lead"    // the leading controller
+	KindJob       = "job"     // the final answer for a job, kept for ever
+	KindOpen      = "open"    // an unfinished job: its description and shares
+	KindShard     = "page"    // some machines of a partition with all that is on them
+	KindPartition = "part"    // what a partition may use of the teams' limits
+	KindType      = "type"    // a machine type, for starts during the cloud's outages
+	KindRental    = "ask"     // a rental request
+	KindRemoval   = "removal" // machines being given back, or proven gone
+	KindMember    = "member"  // a live controller
+	KindLead      = "lead"    // the leading controller
 )
 
 // Key builds a key.
@@ -57,7 +57,7 @@
 }
 
 // OpenJob is the record of KindOpen. Which of the job's tasks run or are
-// completed stands in the pages; a task that no page names is pending. A cancelled
+// completed stands in the shards; a task that no shard names is pending. A cancelled
 // job has an Answer and keeps this record until all of its attempts are gone.
 type OpenJob struct {
 	Spec   Spec    `msgpack:"j"`
@@ -68,22 +68,23 @@
 // Share says which part gives the pending tasks of a range to its machines.
 // Every assignment is conditional on the version of the record that says so.
 type Share struct {
+	//lint:ignore U1000 the msgpack library reads it through reflection
 	_msgpack   struct{} `msgpack:",as_array"`
 	First, End int
-	Part       string
+	Partition  string
 }
 
 // ShareBytes is what one share takes in a record, beside the part's name.
 const ShareBytes = 20
 
-// Reshare gives a range to a part and joins what then belongs together.
+// Reshare gives a range to a partition and joins what then belongs together.
 func Reshare(shares []Share, first, end int, part string) []Share {
 	var out []Share
 	add := func(s Share) {
 		if s.First >= s.End {
 			return
 		}
-		if n := len(out); n > 0 && out[n-1].Part == s.Part && out[n-1].End == s.First {
+		if n := len(out); n > 0 && out[n-1].Partition == s.Partition && out[n-1].End == s.First {
 			out[n-1].End = s.End
 			return
 		}
@@ -91,12 +92,12 @@
 	}
 	given := false
 	for _, s := range shares {
-		add(Share{First: s.First, End: min(s.End, first), Part: s.Part})
+		add(Share{First: s.First, End: min(s.End, first), Partition: s.Partition})
 		if !given && s.End > first {
 			given = true
-			add(Share{First: first, End: end, Part: part})
+			add(Share{First: first, End: end, Partition: part})
 		}
-		add(Share{First: max(s.First, end), End: s.End, Part: s.Part})
+		add(Share{First: max(s.First, end), End: s.End, Partition: s.Partition})
 	}
 	return out
 }
@@ -135,34 +136,35 @@
 }
 
 // Part is the record of KindPart. Of each limited team, what the attempts in a
-// part's pages take is at most the part's share; what all parts' shares add up to
+// part's shards take is at most the part's share; what all partitions' shares add up to
 // is at most the team's limit. A share is raised on the condition that no part's
 // record has changed, so assignments need no common record.
-type Part struct {
+type Partition struct {
 	Shares map[string]Amount `msgpack:"s"`
 }
 
 // Amount is a share of a team's limit.
 type Amount struct {
+	//lint:ignore U1000 the msgpack library reads it through reflection
 	_msgpack   struct{} `msgpack:",as_array"`
 	CPUs, GPUs float64
 }
 
 // AskPhase is where a rental request stands.
-type AskPhase string
+type RentalPhase string
 
 // Phases of a rental request. Ready and refused asks are dropped.
 const (
-	AskPending      AskPhase = "pending"
-	AskProvisioning AskPhase = "provisioning"
-	AskUnmet        AskPhase = "unmet"
+	RentalPending      RentalPhase = "pending"
+	RentalProvisioning RentalPhase = "provisioning"
+	RentalUnmet        RentalPhase = "unmet"
 )
 
 // Ask is the record of KindAsk. While its machines come up it says who may claim
 // them: their home among the controllers that lived when it was written, or the
 // one named in Own. A claim is conditional on the record's version.
-type Ask struct {
-	Phase    AskPhase          `msgpack:"p"`
+type Rental struct {
+	Phase    RentalPhase       `msgpack:"p"`
 	Type     string            `msgpack:"y"`
 	Zone     string            `msgpack:"z"`
 	Spot     bool              `msgpack:"b,omitempty"`
--- a/internal/bookkeeping/page.go
+++ b/internal/bookkeeping/shard.go
@@ -20,31 +20,31 @@
 	MachineRemoving MachineState = "r" // for the leader to give back
 )
 
-// Page is the record of KindPage: some of a part's machines, the attempts on
-// them, and which tasks were completed there. A page has one owner, who alone
+// Page is the record of KindPage: some of a partition's machines, the attempts on
+// them, and which tasks were completed there. A shard has one owner, who alone
 // writes it; whoever takes it over changes its version by that, so no late write
 // of an earlier owner can follow. Decoded entries are never changed in place.
-type Page struct {
+type Shard struct {
 	Owner       string
 	Incarnation uint64
 	Claim       uint64
-	Machines    map[string]*PageMachine
-	Jobs        map[string]*PageJob
+	Machines    map[string]*ShardMachine
+	Jobs        map[string]*ShardJob
 }
 
-// PageMachine is a machine in a page.
-type PageMachine struct {
-	Num      int // its short name within the page
+// PageMachine is a machine in a shard.
+type ShardMachine struct {
+	Num      int // its short name within the shard
 	Type     string
 	Zone     string
 	Spot     bool
 	Endpoint string
 	State    MachineState
-	Claim    uint64 // when above the page's: it came from another part's page
+	Claim    uint64 // when above the shard's: it came from another partition's shard
 }
 
-// PageJob is what a page holds of a job.
-type PageJob struct {
+// PageJob is what a shard holds of a job.
+type ShardJob struct {
 	Done Tasks
 	Held []Held // ordered by task
 	text string // its stored form but for the id, to tell what changed
@@ -57,26 +57,26 @@
 	Attempt uint64
 }
 
-// ClaimOf gives the claim number under which a machine of the page is held.
-func (p *Page) ClaimOf(m *PageMachine) uint64 { return max(p.Claim, m.Claim) }
+// ClaimOf gives the claim number under which a machine of the shard is held.
+func (p *Shard) ClaimOf(m *ShardMachine) uint64 { return max(p.Claim, m.Claim) }
 
-// Clone copies a page so that a change can be prepared; the entries are shared
+// Clone copies a shard so that a change can be prepared; the entries are shared
 // and must be replaced rather than changed.
-func (p *Page) Clone() *Page {
+func (p *Shard) Clone() *Shard {
 	q := *p
-	q.Machines = make(map[string]*PageMachine, len(p.Machines)+1)
+	q.Machines = make(map[string]*ShardMachine, len(p.Machines)+1)
 	for k, v := range p.Machines {
 		q.Machines[k] = v
 	}
-	q.Jobs = make(map[string]*PageJob, len(p.Jobs)+1)
+	q.Jobs = make(map[string]*ShardJob, len(p.Jobs)+1)
 	for k, v := range p.Jobs {
 		q.Jobs[k] = v
 	}
 	return &q
 }
 
-// Add puts a machine into the page under the lowest free number.
-func (p *Page) Add(id string, m PageMachine) {
+// Add puts a machine into the shard under the lowest free number.
+func (p *Shard) Add(id string, m ShardMachine) {
 	used := make(map[int]bool, len(p.Machines))
 	for _, o := range p.Machines {
 		used[o.Num] = true
@@ -89,31 +89,31 @@
 }
 
 // SetState replaces a machine's state.
-func (p *Page) SetState(id string, s MachineState) {
+func (p *Shard) SetState(id string, s MachineState) {
 	m := *p.Machines[id]
 	m.State = s
 	p.Machines[id] = &m
 }
 
 // Assign gives a task to a machine.
-func (p *Page) Assign(job string, h Held) {
+func (p *Shard) Assign(job string, h Held) {
 	old := p.Jobs[job]
 	if old == nil {
-		old = &PageJob{}
+		old = &ShardJob{}
 	}
 	k := sort.Search(len(old.Held), func(i int) bool { return old.Held[i].Task >= h.Task })
 	held := make([]Held, 0, len(old.Held)+1)
 	held = append(append(append(held, old.Held[:k]...), h), old.Held[k:]...)
-	p.Jobs[job] = &PageJob{Done: old.Done, Held: held}
+	p.Jobs[job] = &ShardJob{Done: old.Done, Held: held}
 }
 
 // Release takes an attempt off; done: the task is completed.
-func (p *Page) Release(job string, task int, done bool) {
+func (p *Shard) Release(job string, task int, done bool) {
 	old := p.Jobs[job]
 	if old == nil {
 		return
 	}
-	next := &PageJob{Done: old.Done, Held: make([]Held, 0, len(old.Held))}
+	next := &ShardJob{Done: old.Done, Held: make([]Held, 0, len(old.Held))}
 	for _, h := range old.Held {
 		if h.Task != task {
 			next.Held = append(next.Held, h)
@@ -129,8 +129,8 @@
 	p.Jobs[job] = next
 }
 
-// pageRecord is a page as stored. What is counted is its JSON form, and every
-// change of a task is a change of a page: so machines and jobs are packed text.
+// pageRecord is a shard as stored. What is counted is its JSON form, and every
+// change of a task is a change of a shard: so machines and jobs are packed text.
 //
 //	machines: "num id endpoint kind state [claim]" joined by ";"
 //	jobs: "id dDONE num@attempt:TASKS ..." joined by ";", ":0" left out
@@ -147,6 +147,7 @@
 }
 
 type kindRec struct {
+	//lint:ignore U1000 the msgpack library reads it through reflection
 	_msgpack struct{} `msgpack:",as_array"`
 	Type     string
 	Zone     string
@@ -155,7 +156,7 @@
 
 // Encode gives the stored form and its size as the state service counts it (an
 // upper bound).
-func (p *Page) Encode() (protocol.Raw, int) {
+func (p *Shard) Encode() (protocol.Raw, int) {
 	rec := pageRecord{Owner: p.Owner, Incarnation: p.Incarnation, Claim: p.Claim}
 	kinds := map[kindRec]int{}
 	var b []byte
@@ -225,7 +226,7 @@
 	return last[:n] + s[1:], true
 }
 
-func (e *PageJob) encode(machines map[string]*PageMachine) string {
+func (e *ShardJob) encode(machines map[string]*ShardMachine) string {
 	b := make([]byte, 0, 64)
 	if len(e.Done) > 0 {
 		b = e.Done.append(append(b, " d"...))
@@ -255,10 +256,10 @@
 	return string(b)
 }
 
-// Bound tells how large the page can get without another assignment: as its
+// Bound tells how large the shard can get without another assignment: as its
 // attempts end in any order, ranges of them fall apart. Whatever becomes of what
 // is assigned must always find room in the record.
-func (p *Page) Bound() int {
+func (p *Shard) Bound() int {
 	_, size := p.Encode()
 	for _, e := range p.Jobs {
 		if len(e.Held) > 0 {
@@ -280,15 +281,15 @@
 	return n
 }
 
-// DecodePage reads a stored page; entries that stand in old unchanged are shared
+// DecodePage reads a stored shard; entries that stand in old unchanged are shared
 // with it.
-func DecodePage(raw protocol.Raw, old *Page) (*Page, error) {
+func DecodeShard(raw protocol.Raw, old *Shard) (*Shard, error) {
 	var rec pageRecord
 	if err := protocol.Unmarshal(raw, &rec); err != nil {
 		return nil, err
 	}
-	p := &Page{Owner: rec.Owner, Incarnation: rec.Incarnation, Claim: rec.Claim,
-		Machines: map[string]*PageMachine{}, Jobs: map[string]*PageJob{}}
+	p := &Shard{Owner: rec.Owner, Incarnation: rec.Incarnation, Claim: rec.Claim,
+		Machines: map[string]*ShardMachine{}, Jobs: map[string]*ShardJob{}}
 	bad := func(what string) error { return fmt.Errorf("page with a bad entry %q", what) }
 	byNum := map[int]string{}
 	lastID, lastEnd := "", ""
@@ -306,7 +307,7 @@
 		}
 		lastID, lastEnd = id, end
 		k := rec.Kinds[kind]
-		m := &PageMachine{Num: int(num), Type: k.Type, Zone: k.Zone, Spot: k.Spot, Endpoint: end, State: MachineState(f[4])}
+		m := &ShardMachine{Num: int(num), Type: k.Type, Zone: k.Zone, Spot: k.Spot, Endpoint: end, State: MachineState(f[4])}
 		if len(f) > 5 {
 			c, err := strconv.ParseUint(f[5], 36, 64)
 			if err != nil {
@@ -325,7 +326,7 @@
 			}
 		}
 	}
-	// Numbers are names within the page: only while they mean the same machines
+	// Numbers are names within the shard: only while they mean the same machines
 	// does the same text mean the same.
 	same := old != nil
 	if same {
@@ -351,7 +352,7 @@
 				continue
 			}
 		}
-		e := &PageJob{text: text}
+		e := &ShardJob{text: text}
 		for _, f := range strings.Fields(rest) {
 			if done, ok := strings.CutPrefix(f, "d"); ok && !strings.Contains(f, "@") {
 				t, err := parseTasks(done, protocol.MaxTasks)
--- a/internal/coordination/autoscaler.go
+++ b/internal/coordination/autoscaler.go
@@ -18,8 +18,8 @@
 // unmet lists the offers that are sidelined.
 func (c *Core) unmet() map[offer]bool {
 	out := map[offer]bool{}
-	for _, a := range c.view.asks {
-		if a.rec.Phase == bookkeeping.AskUnmet {
+	for _, a := range c.view.rentals {
+		if a.rec.Phase == bookkeeping.RentalUnmet {
 			out[offer{a.rec.Type, a.rec.Zone, a.rec.Spot}] = true
 		}
 	}
@@ -36,7 +36,7 @@
 			continue
 		}
 		mistaken := c.mistakes(j)
-		if mistaken && !c.mayAsk(j, now) {
+		if mistaken && !c.mayRent(j, now) {
 			continue // it is tried in what room there is
 		}
 		left, ok := teamLeft[spec.Team]
@@ -70,22 +70,22 @@
 		bins = append(bins, b)
 	}
 	// Open requests are supply: the largest first of the design's order.
-	for _, name := range sortedKeys(c.view.asks) {
-		a := c.view.asks[name]
+	for _, name := range sortedKeys(c.view.rentals) {
+		a := c.view.rentals[name]
 		t, ok := c.types[a.rec.Type]
-		if !ok || a.rec.Phase == bookkeeping.AskUnmet {
+		if !ok || a.rec.Phase == bookkeeping.RentalUnmet {
 			continue
 		}
 		n := a.rec.Count
 		late := false
-		if c.set.OverdueBoot > 0 && a.rec.Phase == bookkeeping.AskProvisioning {
+		if c.set.OverdueBoot > 0 && a.rec.Phase == bookkeeping.RentalProvisioning {
 			boots := micros.T(c.env.Wall()-a.rec.At).Seconds() / max(t.BootS, 1)
 			if boots > 1.5*c.set.OverdueBoot {
 				continue // one of the slow or dead ones: no longer to be relied on
 			}
 			late = boots > c.set.OverdueBoot
 		}
-		if a.rec.Phase == bookkeeping.AskProvisioning {
+		if a.rec.Phase == bookkeeping.RentalProvisioning {
 			n = len(c.missing(a))
 		}
 		for ; n > 0; n-- {
@@ -170,19 +170,19 @@
 func (c *Core) offers() []*offerInfo {
 	unmet := c.unmet()
 	inZone := map[string]int{}
-	zones := map[string]*hearing{}
+	zones := map[string]*heardCount{}
 	for _, m := range c.view.machines {
 		if m.rec == nil {
 			continue
 		}
 		inZone[m.rec.Zone]++
 		if zones[m.rec.Zone] == nil {
-			zones[m.rec.Zone] = &hearing{}
+			zones[m.rec.Zone] = &heardCount{}
 		}
 		zones[m.rec.Zone].count(m.rec.State == bookkeeping.MachineQuiet, m.rec.State != bookkeeping.MachineOpen)
 	}
-	for _, a := range c.view.asks {
-		if a.rec.Phase != bookkeeping.AskUnmet {
+	for _, a := range c.view.rentals {
+		if a.rec.Phase != bookkeeping.RentalUnmet {
 			inZone[a.rec.Zone] += a.rec.Count
 		}
 	}
@@ -272,12 +272,12 @@
 	}
 	for _, o := range inOrder(chosen) {
 		for n := chosen[o]; n > 0; n -= mostARent {
-			c.ask(o, min(n, mostARent))
+			c.rental(o, min(n, mostARent))
 		}
 	}
 }
 
-// headroom is room that is kept for services yet to come: a part of what each
+// headroom is room that is kept for services yet to come: a partition of what each
 // class of services uses now. A service that finds room starts within its image
 // fetch, one that doesn't waits for a boot.
 func (c *Core) headroom() []*demand {
@@ -369,7 +369,7 @@
 // keepFor is how long an empty machine stays closed before it is given back: the delay
 // for what is cheapest, less for a dearer kind of the same type, by its price. What is
 // kept for the next burst is better kept where it costs least.
-func (c *Core) keepFor(rec *bookkeeping.PageMachine) micros.T {
+func (c *Core) keepFor(rec *bookkeeping.ShardMachine) micros.T {
 	delay := c.set.ScaleDownDelay.T()
 	if t := c.types[rec.Type]; !rec.Spot && t.SpotPrice > 0 && t.SpotPrice < t.Price {
 		return micros.T(float64(delay) * t.SpotPrice / t.Price)
@@ -378,11 +378,11 @@
 }
 
 // tendEmpty closes our empty machines, and has them given back after the delay if
-// they are still empty; headroom that all parts together keep is left. Closing is
+// they are still empty; headroom that all partitions together keep is left. Closing is
 // only a matter of the part that places on them: a waiting task reopens one
 // without a write. Each part does so for its own machines, as it alone writes its
-// pages, and the leader deletes them.
-func (c *Core) tendEmpty(now micros.T) {
+// shards, and the leader deletes them.
+func (c *Core) closeEmpty(now micros.T) {
 	if c.types == nil {
 		return
 	}
@@ -391,7 +391,7 @@
 		_, bins := c.demands(now)
 		holdRoom(c.headroom(), bins, needed)
 	}
-	seen := map[string]bool{}
+	noteVisit := map[string]bool{}
 	for _, id := range sortedKeys(c.view.machines) {
 		m := c.view.machines[id]
 		if m.w == nil || m.rec == nil || len(m.tasks) > 0 || needed[id] && m.rec.State != bookkeeping.MachineDraining && !m.w.doubtful || m.w.removing != "" {
@@ -399,7 +399,7 @@
 		}
 		switch m.rec.State {
 		case bookkeeping.MachineOpen:
-			seen[id] = true
+			noteVisit[id] = true
 			at, ok := c.emptyAt[id]
 			if !ok {
 				c.emptyAt[id] = now
@@ -416,7 +416,7 @@
 		}
 	}
 	for id := range c.emptyAt {
-		if !seen[id] {
+		if !noteVisit[id] {
 			delete(c.emptyAt, id)
 			delete(c.closedAt, id)
 		}
--- a/internal/coordination/rooms.go
+++ b/internal/coordination/capacities.go
@@ -4,11 +4,11 @@
 	"pipitgap/internal/bookkeeping"
 )
 
-// partRooms is the free room of every part, from the mirror.
-type partRooms struct {
-	core  *Core
-	parts map[string][]*candidate
-	made  map[claimant]string // what mostVictims has found
+// partRooms is the free room of every partition, from the mirror.
+type freeCapacity struct {
+	core       *Core
+	partitions map[string][]*candidate
+	made       map[claimant]string // what mostVictims has found
 }
 
 // claimant is what decides whose work may be stopped for a job.
@@ -18,8 +18,8 @@
 	priority int
 }
 
-func (c *Core) partRooms() *partRooms {
-	p := &partRooms{core: c, parts: map[string][]*candidate{}, made: map[claimant]string{}}
+func (c *Core) freeCapacity() *freeCapacity {
+	p := &freeCapacity{core: c, partitions: map[string][]*candidate{}, made: map[claimant]string{}}
 	for _, m := range c.view.machines {
 		if m.rec == nil || m.rec.State != bookkeeping.MachineOpen || !c.isLive(m.owner()) {
 			continue
@@ -28,16 +28,16 @@
 		if !ok {
 			continue
 		}
-		p.parts[m.owner()] = append(p.parts[m.owner()], &candidate{m: m, rec: m.rec, free: capacity(&t).plus(m.used, -1)})
+		p.partitions[m.owner()] = append(p.partitions[m.owner()], &candidate{m: m, rec: m.rec, free: capacity(&t).plus(m.used, -1)})
 	}
 	return p
 }
 
-// room counts the tasks of a job that fit into a part.
-func (p *partRooms) room(s *bookkeeping.Spec, part string) int {
+// room counts the tasks of a job that fit into a partition.
+func (p *freeCapacity) room(s *bookkeeping.Spec, partition string) int {
 	need := needOf(s)
 	n := 0
-	for _, cd := range p.parts[part] {
+	for _, cd := range p.partitions[partition] {
 		if mayRun(s, cd.rec) {
 			n += need.count(cd.free)
 		}
@@ -49,7 +49,7 @@
 // has its image too comes first. If none has room: the part that could make
 // most, or ours.
 func (c *Core) roomiest(s *bookkeeping.Spec) string {
-	p := c.partRooms()
+	p := c.freeCapacity()
 	best, most := c.node, 0
 	for _, score := range []func(string) int{
 		func(n string) int { return p.withImage(s, n) },
@@ -70,13 +70,13 @@
 }
 
 // withImage counts a service's tasks that fit beside their image.
-func (p *partRooms) withImage(s *bookkeeping.Spec, part string) int {
+func (p *freeCapacity) withImage(s *bookkeeping.Spec, partition string) int {
 	if !s.Service {
 		return 0
 	}
 	need := needOf(s)
 	n := 0
-	for _, cd := range p.parts[part] {
+	for _, cd := range p.partitions[partition] {
 		if cd.m.images[s.Image] && mayRun(s, cd.rec) {
 			n += need.count(cd.free)
 		}
@@ -84,15 +84,15 @@
 	return n
 }
 
-// victims counts the machines of a part on which a service would fit if tasks
+// victims counts the machines of a partition on which a service would fit if tasks
 // of lower priority were stopped; with beside, only those that have its image.
-func (p *partRooms) victims(s *bookkeeping.Spec, part string, beside bool) int {
+func (p *freeCapacity) victims(s *bookkeeping.Spec, partition string, beside bool) int {
 	if !s.Service {
 		return 0
 	}
 	need := needOf(s)
 	n := 0
-	for _, cd := range p.parts[part] {
+	for _, cd := range p.partitions[partition] {
 		if !mayRun(s, cd.rec) || beside && !cd.m.images[s.Image] {
 			continue
 		}
@@ -109,22 +109,22 @@
 	return n
 }
 
-// mostVictims names the other part that could make room for a job on most
+// mostVictims names the other partition that could make room for a job on most
 // machines by stopping what may be stopped for it, or "".
-func (p *partRooms) mostVictims(j *job, not string) string {
+func (p *freeCapacity) mostVictims(j *job, not string) string {
 	spec := &j.rec.Spec
 	who := claimant{like(spec, spec.Team), spec.Service, spec.Priority}
-	if part, ok := p.made[who]; ok {
-		return part
+	if partition, ok := p.made[who]; ok {
+		return partition
 	}
-	most, part := 0, ""
-	defer func() { p.made[who] = part }()
+	most, partition := 0, ""
+	defer func() { p.made[who] = partition }()
 	for _, n := range p.core.live() {
 		if n == not {
 			continue
 		}
 		r := 0
-		for _, cd := range p.parts[n] {
+		for _, cd := range p.partitions[n] {
 			free := cd.free
 			for ref := range cd.m.tasks {
 				if v := p.core.view.jobs[ref.job]; v != nil && v.open() && p.core.mayStop(j, v) {
@@ -136,8 +136,8 @@
 			}
 		}
 		if r > most {
-			most, part = r, n
+			most, partition = r, n
 		}
 	}
-	return part
+	return partition
 }
--- a/internal/coordination/claims.go
+++ b/internal/coordination/claims.go
@@ -6,32 +6,32 @@
 	"pipitgap/internal/protocol"
 )
 
-// Pages whose owner has gone, and how pages change hands.
+// Pages whose owner has gone, and how shards change hands.
 const (
 	// A commit of many changes waits until the state service has that many left, and
 	// while all controllers use up what there is that is never: one that was back claimed
-	// its six pages after 3.6 s. Where nothing else must change along, each goes by itself.
-	fewPages      = 1
+	// its six shards after 3.6 s. Where nothing else must change along, each goes by itself.
+	fewShards     = 1
 	refusedLately = 2 * micros.Second
 	mostCommit    = 56 << 10 // bytes of a commit, as the state service counts them
 )
 
-// inherit claims the pages of our earlier lives, and those of controllers that
-// have gone and whose heir we are: whole pages, many to a commit.
-func (c *Core) inherit(now micros.T) {
+// inherit claims the shards of our earlier lives, and those of controllers that
+// have gone and whose successor we are: whole shards, many to a commit.
+func (c *Core) claimOrphaned(now micros.T) {
 	if c.storeDown || !c.leaseHeld(now) {
 		return
 	}
 	live := c.able()
-	heirless := map[string][]*page{}
-	for _, name := range sortedKeys(c.view.pages) {
-		p := c.view.pages[name]
-		if owner := p.rec.Owner; !c.claiming[name] && c.inherits(p, live, now) && c.view.watched >= p.version {
-			heirless[owner] = append(heirless[owner], p)
+	orphaned := map[string][]*shard{}
+	for _, name := range sortedKeys(c.view.shards) {
+		p := c.view.shards[name]
+		if owner := p.rec.Owner; !c.claiming[name] && c.succeeds(p, live, now) && c.view.watched >= p.version {
+			orphaned[owner] = append(orphaned[owner], p)
 		}
 	}
-	for _, owner := range sortedKeys(heirless) {
-		ps := heirless[owner]
+	for _, owner := range sortedKeys(orphaned) {
+		ps := orphaned[owner]
 		for len(ps) > 0 {
 			ps = ps[c.claim(owner, ps):]
 			if owner != c.node {
@@ -41,9 +41,9 @@
 	}
 }
 
-// inherits tells whether we are to claim a page whose owner has gone: an earlier
-// incarnation of ours, or another controller and we are its heir.
-func (c *Core) inherits(p *page, live []string, now micros.T) bool {
+// inherits tells whether we are to claim a shard whose owner has gone: an earlier
+// incarnation of ours, or another controller and we are its successor.
+func (c *Core) succeeds(p *shard, live []string, now micros.T) bool {
 	owner := p.rec.Owner
 	if owner == c.node {
 		return p.rec.Incarnation != c.inc
@@ -54,9 +54,9 @@
 	return now-c.gone(owner, now) > micros.Second && home(p.name, live) == c.node
 }
 
-// claim takes over pages of one owner, as many as a commit takes.
-func (c *Core) claim(owner string, ps []*page) int {
-	t, n := c.passPages(ps, c.node, c.inc)
+// claim takes over shards of one owner, as many as a commit takes.
+func (c *Core) claim(owner string, ps []*shard) int {
+	t, n := c.passShards(ps, c.node, c.inc)
 	ps = ps[:n]
 	for _, p := range ps {
 		c.claiming[p.name] = true
@@ -74,23 +74,23 @@
 			}
 		}
 		if r.Outcome == protocol.OK {
-			c.log.Info("pages taken over", "from", owner, "pages", len(ps), "machines", machines)
+			c.log.Info("shards taken over", "from", owner, "shards", len(ps), "machines", machines)
 		}
 	})
 	return n
 }
 
-// passPages prepares the commit by which pages of one owner go to another: a
+// passPages prepares the commit by which shards of one owner go to another: a
 // conditional write that raises their claim numbers, so that tokens of any earlier
 // owner are outranked, with the shares of the teams' limits that their attempts use.
-// As many pages as a commit takes go at once.
-func (c *Core) passPages(ps []*page, to string, incarnation uint64) (t protocol.Txn, taken int) {
+// As many shards as a commit takes go at once.
+func (c *Core) passShards(ps []*shard, to string, incarnation uint64) (t protocol.Txn, taken int) {
 	use := map[string]amount{}
 	bytes := 0
 	from := ps[0].rec.Owner
-	most := c.cfg.Facts.State.TxnOps - 2 // two parts' shares follow
+	most := c.cfg.Facts.State.TxnOps - 2 // two partitions' shares follow
 	if from == to || c.now()-c.refusedAt < refusedLately {
-		most = min(most, fewPages)
+		most = min(most, fewShards)
 	}
 	for _, p := range ps {
 		rec := p.rec.Clone()
@@ -105,7 +105,7 @@
 		}
 		bytes += size
 		taken++
-		key := bookkeeping.Key(bookkeeping.KindPage, p.name)
+		key := bookkeeping.Key(bookkeeping.KindShard, p.name)
 		t.If = append(t.If, protocol.Cond{Key: key, Version: p.version})
 		t.Then = append(t.Then, protocol.Op{Put: key, Value: raw})
 		for team, a := range p.use {
--- a/internal/coordination/cluster_test.go
+++ b/internal/coordination/cluster_test.go
@@ -289,7 +289,7 @@
 		return
 	}
 	life := n.life
-	question := c.check.Ask(method, target, body)
+	question := c.check.Observe(method, target, body)
 	c.awake(node, func() {
 		if n.life != life || n.core == nil {
 			return
--- a/internal/coordination/commands.go
+++ b/internal/coordination/commands.go
@@ -32,14 +32,14 @@
 		*at = max(now, 1)
 		return true
 	}
-	var strays []attemptKey
+	var unexpected []attemptKey
 	for k := range w.rep {
 		if attempt, ok := m.tasks[k.ref]; !ok || attempt != k.attempt {
-			strays = append(strays, k)
+			unexpected = append(unexpected, k)
 		}
 	}
-	inOrderOf(strays)
-	for _, k := range strays {
+	inOrderOf(unexpected)
+	for _, k := range unexpected {
 		s, t := w.told(k), w.rep[k]
 		if t.State == protocol.StateExited {
 			// Its outcome is in the store, or nobody wants it.
@@ -110,16 +110,16 @@
 
 // syncJob tells every worker of ours that has tasks of a job.
 func (c *Core) syncJob(j *job) {
-	seen := map[string]bool{}
-	for _, name := range sortedKeys(c.view.pages) {
-		p := c.view.pages[name]
+	noteVisit := map[string]bool{}
+	for _, name := range sortedKeys(c.view.shards) {
+		p := c.view.shards[name]
 		e := p.rec.Jobs[j.id]
 		if e == nil || !c.owns(p) {
 			continue
 		}
 		for _, h := range e.Held {
-			if m := c.view.machines[h.Machine]; !seen[h.Machine] && m != nil && m.w != nil {
-				seen[h.Machine] = true
+			if m := c.view.machines[h.Machine]; !noteVisit[h.Machine] && m != nil && m.w != nil {
+				noteVisit[h.Machine] = true
 				c.sync(m)
 			}
 		}
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -43,7 +43,7 @@
 	commandWithin = 3 * micros.Second
 	showWithin    = 1 * micros.Second
 	mostWatch     = 4 << 20 // bytes of an answer of the watch, at most about
-	evenPart      = 1.2     // of the even share of the store's limits that each may use
+	budgetExcess  = 1.2     // of the even share of the store's limits that each may use
 )
 
 // Core is the actor that decides. All of its methods run on its own goroutine
@@ -87,7 +87,7 @@
 	peerReach  map[string]Reach    // what a peer last said of its workers
 	lostAt     micros.T            // since when our workers are out of reach; 0: they aren't
 	heardMost  bool                // most of them were heard lately
-	asking     int                 // questions to silent machines in flight, see suspect
+	probing    int                 // questions to silent machines in flight, see suspect
 	reachedAt  micros.T            // when one last answered
 	probeAt    micros.T
 	tickAt     micros.T                  // when it was last seen to run
@@ -103,51 +103,51 @@
 	catalogAt micros.T
 	catalogIn bool
 
-	askers    []asker // answers that wait for a mirror no older than their request
-	catching  bool    // a watch that doesn't wait is in flight for them
-	catchAt   micros.T
-	watchSent micros.T // when the watch in flight was sent
-	liveShare int      // live controllers that the budgets are shared by
-	boost     float64  // how much more than its even part of them this one uses
-	refusedAt micros.T // when a call was last throttled
-	refused   int      // calls that were throttled when that was last looked at
-	pages     map[string]*pageState
-	fresh     map[string]*bookkeeping.Page // new pages that the mirror hasn't yet
-	pageSeq   int
-	turnAt    micros.T
-	served    float64 // CPUs that all services hold
-	orphanAt  micros.T
-	turnJobs  map[string]bool   // jobs with tasks assigned by the turn under way
-	takeAt    micros.T          // when tasks may change their part again
-	ownAt     micros.T          // when a machine's claimant may be changed again
-	dirty     bool              // a turn may find something to do
-	crowds    map[string]*crowd // by team, its submissions of late
-	arrivals  map[string]*arrival
-	claimSeen map[string]claimSeen
-	claiming  map[string]bool // pages being taken over
-	jobBusy   map[string]bool // jobs with a change of their record in flight
-	accepted  map[string]uint64
-	partBusy  bool
-	teamShort map[string]shortage // what assignments lacked of a team's share
+	waitingReaders  []waitingReader // answers that wait for a mirror no older than their request
+	catching        bool            // a watch that doesn't wait is in flight for them
+	catchAt         micros.T
+	watchSent       micros.T // when the watch in flight was sent
+	liveShare       int      // live controllers that the budgets are shared by
+	boost           float64  // how much more than its even part of them this one uses
+	refusedAt       micros.T // when a call was last throttled
+	refused         int      // calls that were throttled when that was last looked at
+	shards          map[string]*shardState
+	fresh           map[string]*bookkeeping.Shard // new shards that the mirror hasn't yet
+	shardSeq        int
+	passAt          micros.T
+	served          float64 // CPUs that all services hold
+	orphanAt        micros.T
+	passJobs        map[string]bool            // jobs with tasks assigned by the pass under way
+	takeAt          micros.T                   // when tasks may change their part again
+	ownAt           micros.T                   // when a machine's claimant may be changed again
+	dirty           bool                       // a pass may find something to do
+	submissionRates map[string]*submissionRate // by team, its submissions of late
+	arrivals        map[string]*arrival
+	claimSeen       map[string]claimSeen
+	claiming        map[string]bool // shards being taken over
+	jobBusy         map[string]bool // jobs with a change of their record in flight
+	accepted        map[string]uint64
+	partitionBusy   bool
+	teamShort       map[string]shortage // what assignments lacked of a team's share
 
 	inDoubt      []sharesInDoubt
 	lackingSince map[string]micros.T // teams of whose limit we lack a task's worth
 	peerLacks    map[string]micros.T // by team, when a peer last said the same of itself
 
-	jobState   map[string]*jobState
-	bias       map[string]float64 // by class: log of run time over estimate, lately
-	leader     leaderState
-	sightings  map[string]*sighting // workers of other parts that came to us
-	preempting map[string]*preemption
-	emptyAt    map[string]micros.T // own machines, since when they are empty
-	closedAt   map[string]micros.T
-	tendAt     micros.T
-	zoneCut    map[string]micros.T // when a zone had last fallen silent as a whole
-	quietSaid  bool                // many silent machines have been logged
-	givenBack  map[string][]string // machines to be removed, by reason, not yet logged
-	slowAt     micros.T
-	cloudGate  bookkeeping.Bucket
-	stats      stats
+	jobState    map[string]*jobState
+	bias        map[string]float64 // by class: log of run time over estimate, lately
+	leader      leaderState
+	strayVisits map[string]*strayVisit // workers of other partitions that came to us
+	preempting  map[string]*preemption
+	emptyAt     map[string]micros.T // own machines, since when they are empty
+	closedAt    map[string]micros.T
+	closeAt     micros.T
+	zoneCut     map[string]micros.T // when a zone had last fallen silent as a whole
+	quietSaid   bool                // many silent machines have been logged
+	givenBack   map[string][]string // machines to be removed, by reason, not yet logged
+	slowAt      micros.T
+	cloudGate   bookkeeping.Bucket
+	stats       stats
 }
 
 // NewCore makes the actor's state.
@@ -156,10 +156,10 @@
 		cfg: cfg, set: set, env: env, log: log, node: cfg.Node,
 		inc:    env.Rand().Uint64()>>16 | 1,
 		peerOK: map[string]micros.T{}, peerSeen: map[string]micros.T{}, peerUsers: map[string]micros.T{}, peerFails: map[string]map[string]int{}, peerReach: map[string]Reach{}, deadSince: map[string]micros.T{},
-		pages: map[string]*pageState{}, fresh: map[string]*bookkeeping.Page{}, crowds: map[string]*crowd{}, arrivals: map[string]*arrival{}, claimSeen: map[string]claimSeen{},
+		shards: map[string]*shardState{}, fresh: map[string]*bookkeeping.Shard{}, submissionRates: map[string]*submissionRate{}, arrivals: map[string]*arrival{}, claimSeen: map[string]claimSeen{},
 		claiming: map[string]bool{}, jobBusy: map[string]bool{}, accepted: map[string]uint64{}, teamShort: map[string]shortage{},
 		lackingSince: map[string]micros.T{}, peerLacks: map[string]micros.T{},
-		jobState: map[string]*jobState{}, bias: map[string]float64{}, sightings: map[string]*sighting{},
+		jobState: map[string]*jobState{}, bias: map[string]float64{}, strayVisits: map[string]*strayVisit{},
 		preempting: map[string]*preemption{}, givenBack: map[string][]string{}, zoneCut: map[string]micros.T{}, emptyAt: map[string]micros.T{}, closedAt: map[string]micros.T{},
 	}
 	c.all = append(c.all, cfg.Node)
@@ -216,9 +216,9 @@
 	if !c.ready || c.outdated(now) {
 		return
 	}
-	if c.dirty && now >= c.turnAt {
-		c.turn(now)
-		c.turnAt = max(c.turnAt, pace(now, c.now(), 2*fastTick))
+	if c.dirty && now >= c.passAt {
+		c.schedulingPass(now)
+		c.passAt = max(c.passAt, pace(now, c.now(), 2*fastTick))
 	}
 }
 
@@ -234,11 +234,11 @@
 	c.shareBudgets(len(c.live()))
 	c.keepMember()
 	c.election(now)
-	c.inherit(now)
+	c.claimOrphaned(now)
 	c.freeShares(now)
-	c.tendMachines(now)
-	c.tendShares(now)
-	c.tendJobs()
+	c.checkMachines(now)
+	c.adjustShares(now)
+	c.closeJobs()
 	c.dirty = true
 	c.lead(now)
 }
@@ -265,10 +265,10 @@
 			}
 			c.syncJob(j) // a cancellation reaches the workers at once
 		}
-	case bookkeeping.KindPage:
+	case bookkeeping.KindShard:
 		c.dirty = true
-		c.pageTouched(name)
-	case bookkeeping.KindAsk, bookkeeping.KindRemoval:
+		c.shardTouched(name)
+	case bookkeeping.KindRental, bookkeeping.KindRemoval:
 		c.dirty = true
 	case bookkeeping.KindMember:
 		if c.isLive(name) {
--- a/internal/coordination/core_test.go
+++ b/internal/coordination/core_test.go
@@ -23,28 +23,28 @@
 	}
 }
 
-// TestPagesMakeRoom: pages come less often while users wait for the store, here or at
+// TestPagesMakeRoom: shards come less often while users wait for the store, here or at
 // a peer that said so lately.
-func TestPagesMakeRoom(t *testing.T) {
+func TestShardsMakeRoom(t *testing.T) {
 	c := newCluster(t, 8).steady()
 	core := c.nodes["n-0"].core
-	usual := core.pageRate()
+	usual := core.shardRate()
 	core.OnHint(Hint{Node: "n-1", StoreOK: true, Users: manyUsers})
-	if got := core.pageRate(); got != usual {
+	if got := core.shardRate(); got != usual {
 		t.Errorf("a few users at a peer: %v, usually %v", got, usual)
 	}
 	core.OnHint(Hint{Node: "n-1", StoreOK: true, Users: manyUsers + 1})
-	if got := core.pageRate(); got >= usual/2 {
+	if got := core.shardRate(); got >= usual/2 {
 		t.Errorf("many users at a peer: %v, usually %v", got, usual)
 	}
 	c.sim.Run(3 * slowTick)
-	if got := core.pageRate(); got != usual {
+	if got := core.shardRate(); got != usual {
 		t.Errorf("afterwards: %v, usually %v", got, usual)
 	}
 	for i := 0; i <= manyUsers; i++ {
 		core.queue.Add(bookkeeping.Call{StoreCall: &protocol.StoreCall{}, Rank: bookkeeping.RankUser})
 	}
-	if got := core.pageRate(); got >= usual/4 {
+	if got := core.shardRate(); got >= usual/4 {
 		t.Errorf("many users here: %v, usually %v", got, usual)
 	}
 }
--- a/internal/coordination/faults.go
+++ b/internal/coordination/faults.go
@@ -30,7 +30,7 @@
 )
 
 // judge tells what a job's failures are worth as evidence. That some task of it is
-// done stands in the pages for all controllers; on how many machines it has failed
+// done stands in the shards for all controllers; on how many machines it has failed
 // the others tell in their hints.
 func (c *Core) judge(id string) verdict {
 	j := c.view.jobs[id]
@@ -129,7 +129,7 @@
 // mayAsk tells whether a machine may be rented for a try of a job that fails everywhere,
 // if there is no room at all: once in the longest pause. It may be the machines' fault
 // after all, and where nothing else keeps any it would wait for ever.
-func (c *Core) mayAsk(j *job, now micros.T) bool {
+func (c *Core) mayRent(j *job, now micros.T) bool {
 	at := c.jobNotes(j.id).askedAt
 	return j.held == 0 && (at == 0 || now-at >= c.set.BackoffMost.T())
 }
--- a/internal/coordination/faults_standin_test.go
+++ b/internal/coordination/faults_standin_test.go
@@ -173,7 +173,7 @@
 	return fault{at, "late shares", func(s *scenario) {
 		s.store.Delay = func(t *protocol.Txn) micros.T {
 			kind, _, _ := bookkeeping.SplitKey(t.Then[0].Put)
-			if len(t.Then) == 1 && kind == bookkeeping.KindPart && s.sim.Rand.IntN(2) == 0 {
+			if len(t.Then) == 1 && kind == bookkeeping.KindPartition && s.sim.Rand.IntN(2) == 0 {
 				return 3*sec + s.jitter(9*sec)
 			}
 			return 0
--- a/internal/coordination/faults_test.go
+++ b/internal/coordination/faults_test.go
@@ -13,11 +13,12 @@
 	c := newCluster(t, 1).steady()
 	core := c.nodes["n-0"].core
 	v := core.view
-	v.putJob("runs", 4, 1)
-	v.put(bookkeeping.Key(bookkeeping.KindPage, "other"), pageOf("i-9", "runs", 1, 2), 2)
-	v.putJob("new", 4, 1)
-	v.putJob("here", 4, 1)
-	v.putJob("others", 4, 1)
+	next := v.watched + 1 // the mirror takes nothing older
+	v.putJob("runs", 4, next)
+	v.put(bookkeeping.Key(bookkeeping.KindShard, "other"), shardOf("i-9", "runs", 1, 2), next+1)
+	v.putJob("new", 4, next)
+	v.putJob("here", 4, next)
+	v.putJob("others", 4, next)
 	v.finals.add("ended", bookkeeping.Done)
 	v.finals.add("dropped", bookkeeping.Cancelled)
 	core.jobNotes("here").fails = 3
--- a/internal/coordination/fleet_test.go
+++ b/internal/coordination/fleet_test.go
@@ -116,7 +116,7 @@
 	for _, k := range c.store.Keys(bookkeeping.Root) {
 		got["largest value"] = max(got["largest value"], c.store.Size(k))
 	}
-	got["pages"] = len(c.store.Keys(bookkeeping.Key(bookkeeping.KindPage, "")))
+	got["pages"] = len(c.store.Keys(bookkeeping.Key(bookkeeping.KindShard, "")))
 	got["machines"] = c.cloud.Count()
 	got["cloud calls"] = c.cloud.Calls[protocol.CloudRent] + c.cloud.Calls[protocol.CloudList] + c.cloud.Calls[protocol.CloudDelete]
 	got["finished"] = len(c.fleet.Finished)
@@ -141,7 +141,7 @@
 	c.sim.Run(25 * sec)
 	got["changes, alone"] = c.store.Changes - changes
 	core := c.nodes["n-0"].core
-	for _, p := range core.view.pages {
+	for _, p := range core.view.shards {
 		if !core.owns(p) {
 			got["pages of others"]++
 		}
--- a/internal/coordination/grown_test.go
+++ b/internal/coordination/grown_test.go
@@ -63,7 +63,7 @@
 }
 
 // TestGrownOpening plays the opening of a day twelve times as large: what it costs
-// in changes, requests and bytes, and what gets done for that. Before pages, 4,500
+// in changes, requests and bytes, and what gets done for that. Before shards, 4,500
 // changes brought 137 tasks to their end in the same time.
 func TestGrownOpening(t *testing.T) {
 	c := newGrown(t, 1)
@@ -90,7 +90,7 @@
 		}
 		c.sim.Run(sec)
 		for _, n := range c.names {
-			if got := len(c.nodes[n].core.askers); got > mostAskers {
+			if got := len(c.nodes[n].core.waitingReaders); got > mostReaders {
 				t.Fatalf("%d polls wait", got)
 			}
 		}
@@ -105,10 +105,10 @@
 			services++
 		}
 	}
-	pages := len(c.store.Keys(bookkeeping.Root + bookkeeping.KindPage))
+	shards := len(c.store.Keys(bookkeeping.Root + bookkeeping.KindShard))
 	got := map[string]int{
 		"changes": c.store.Changes, "requests": 0, "conflicts": c.store.Conflicts, "refused": c.store.Throttled,
-		"finished": len(c.fleet.Finished), "services": services, "pages": pages, "cloud calls": 0,
+		"finished": len(c.fleet.Finished), "services": services, "pages": shards, "cloud calls": 0,
 		"largest value": largest["value"], "largest report": largest["report"],
 	}
 	for _, n := range c.store.Calls {
--- a/internal/coordination/idle.go
+++ b/internal/coordination/idle.go
@@ -11,7 +11,7 @@
 // Idle-time work is what nobody has an aim for: arrays of the lowest priority that may
 // use spot machines, of a team without a guarantee, with no deadline and no aim of their
 // class. It uses room that is there and spot machines that pay, and gives way at once:
-// a guest's array of hours held half of the machines, ordinary ones rented for it, while
+// a swarm's array of hours held half of the machines, ordinary ones rented for it, while
 // leak-scan waited minutes for gaps.
 
 // idleStart is how long idle-time work waits for such room before one ordinary machine
--- a/internal/coordination/idle_test.go
+++ b/internal/coordination/idle_test.go
@@ -57,7 +57,7 @@
 				}
 			}
 			c.steady()
-			guest := c.submit(600*sec, jobOf{"crew": "guest", "rank": "best_effort", "pips": 60, "cores": 4.0, "borrowed": true, "guess_s": 300.0, "perch_s": 30.0, "stash_s": 1.0})
+			swarms := c.submit(600*sec, jobOf{"crew": "guest", "rank": "best_effort", "pips": 60, "cores": 4.0, "borrowed": true, "guess_s": 300.0, "perch_s": 30.0, "stash_s": 1.0})
 			c.sim.Run(100 * sec)
 			ordinary := 0
 			for _, m := range c.cloud.Machines {
@@ -65,7 +65,7 @@
 					ordinary++
 				}
 			}
-			begun := c.fleet.Running(guest)
+			begun := c.fleet.Running(swarms)
 			if tc.spot == 0 && (begun == 0 || ordinary > 1) || tc.spot > 0 && (begun < 30 || ordinary > 0) {
 				t.Fatalf("%d of its tasks run, %d ordinary machines", begun, ordinary)
 			}
@@ -80,7 +80,7 @@
 				}
 			}
 			c.sim.Run(20 * sec)
-			if n := c.fleet.Running(guest); n < begun*3/4 {
+			if n := c.fleet.Running(swarms); n < begun*3/4 {
 				t.Errorf("%d of its tasks run again, %d before", n, begun)
 			}
 			c.rules()
--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -7,7 +7,7 @@
 	"pipitgap/internal/protocol"
 )
 
-// finishIfComplete makes a job done once the pages show every task of it done.
+// finishIfComplete makes a job done once the shards show every task of it done.
 func (c *Core) finishIfComplete(id string) {
 	j := c.view.jobs[id]
 	if j == nil || !j.open() || !j.complete() || c.jobBusy[id] {
@@ -17,7 +17,7 @@
 }
 
 // end closes a job whose tasks are all done, unless it has an answer already: the
-// answer is kept for ever, the description goes. The pages drop what they hold of
+// answer is kept for ever, the description goes. The shards drop what they hold of
 // it with their next changes.
 func (c *Core) end(j *job) {
 	id := j.id
@@ -49,10 +49,10 @@
 	}, func(protocol.StoreResult) { delete(c.jobBusy, j.id) })
 }
 
-// tendJobs closes jobs that are over: such whose last tasks ended on several parts
+// tendJobs closes jobs that are over: such whose last tasks ended on several partitions
 // at once, each of which saw another's unfinished, and cancelled ones whose every
 // attempt is proven gone. Each job has one controller that does so.
-func (c *Core) tendJobs() {
+func (c *Core) closeJobs() {
 	if c.storeDown {
 		return
 	}
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -29,12 +29,12 @@
 	listAt   micros.T
 	listing  bool
 	sequence int
-	asking   map[string]bool
-	askAt    map[string]micros.T
+	probing  map[string]bool
+	rentAt   map[string]micros.T
 	deleting map[string]bool     // removals whose call is in flight
 	deleteAt map[string]micros.T // when a removal may be tried again
 	removeAt micros.T
-	unready  map[string]string // machines to be removed that are in no page, and why
+	unready  map[string]string // machines to be removed that are in no shard, and why
 	found    map[string]*protocol.Listed
 	busy     map[string]bool // keys with a commit of the leader in flight
 	unplaced map[string]*unplaced
@@ -54,7 +54,7 @@
 
 func newLeaderState(term uint64) leaderState {
 	return leaderState{
-		term: term, asking: map[string]bool{}, askAt: map[string]micros.T{}, deleting: map[string]bool{},
+		term: term, probing: map[string]bool{}, rentAt: map[string]micros.T{}, deleting: map[string]bool{},
 		deleteAt: map[string]micros.T{}, unready: map[string]string{}, found: map[string]*protocol.Listed{},
 		busy: map[string]bool{}, unplaced: map[string]*unplaced{}, cut: map[string]bool{},
 	}
@@ -62,9 +62,9 @@
 
 // lead does the leader's share; it is called every slow tick.
 func (c *Core) lead(now micros.T) {
-	if now >= c.tendAt {
-		c.tendAt = now + c.set.PassInterval.T()
-		c.tendEmpty(now)
+	if now >= c.closeAt {
+		c.closeAt = now + c.set.PassInterval.T()
+		c.closeEmpty(now)
 	}
 	if !c.leading(now) || c.storeDown {
 		return
@@ -81,7 +81,7 @@
 	if !l.rebuilt {
 		return
 	}
-	c.asks(now)
+	c.rentals(now)
 	if now >= l.passAt {
 		c.pass(now)
 		l.passAt = pace(now, c.now(), c.set.PassInterval.T())
@@ -221,7 +221,7 @@
 				c.log.Error("machines can't be removed", "removal", name, "machines", len(rec.Machines), "tries", rec.Tries, "outcome", res.Outcome.String())
 			}
 		}
-		c.leaderCommit(bookkeeping.RankPage, key, protocol.Txn{
+		c.leaderCommit(bookkeeping.RankShard, key, protocol.Txn{
 			If:   []protocol.Cond{{Key: key, Version: r.version}},
 			Then: []protocol.Op{{Put: key, Value: protocol.MustMarshal(&rec)}},
 		}, func(cr protocol.StoreResult) {
@@ -232,7 +232,7 @@
 	})
 }
 
-// forgetRemoval drops a record whose machines are in no page any more, once no
+// forgetRemoval drops a record whose machines are in no shard any more, once no
 // late report of theirs is to be expected.
 func (c *Core) forgetRemoval(name string, r *removalView) {
 	if micros.T(c.env.Wall()-r.rec.At) < ghostsFor {
@@ -271,8 +271,8 @@
 	l := &c.leader
 	l.listing = true
 	term := l.term
-	var page func(after string)
-	page = func(after string) {
+	var shard func(after string)
+	shard = func(after string) {
 		if term != c.leader.term {
 			return
 		}
@@ -281,7 +281,7 @@
 			return
 		}
 		if wait := c.cloudGate.Ready(c.now(), 1); wait > 0 {
-			c.env.After(wait, func() { page(after) })
+			c.env.After(wait, func() { shard(after) })
 			return
 		}
 		c.cloudGate.Take(1)
@@ -303,7 +303,7 @@
 				c.listed(&r.Listed[i])
 			}
 			if r.More && len(r.Listed) > 0 {
-				page(r.Listed[len(r.Listed)-1].ID)
+				shard(r.Listed[len(r.Listed)-1].ID)
 				return
 			}
 			c.leader.listing = false
@@ -311,11 +311,11 @@
 			c.takeFound()
 			if !c.leader.rebuilt {
 				c.leader.rebuilt = true
-				c.log.Info("picture rebuilt, renting from here on", "machines", len(c.view.machines), "asks", len(c.view.asks))
+				c.log.Info("picture rebuilt, renting from here on", "machines", len(c.view.machines), "asks", len(c.view.rentals))
 			}
 		})
 	}
-	page("")
+	shard("")
 }
 
 // listed looks at one machine of the list.
@@ -334,7 +334,7 @@
 	switch {
 	case e.State == "failed":
 		l.unready[e.ID] = "failed before it was up"
-	case c.view.askOf[e.ID] == "" && micros.FromSeconds(e.AgeS) > lag:
+	case c.view.rentalOf[e.ID] == "" && micros.FromSeconds(e.AgeS) > lag:
 		l.found[e.ID] = e
 	}
 }
@@ -346,13 +346,13 @@
 	for _, id := range sortedKeys(l.found) {
 		e := l.found[id]
 		delete(l.found, id)
-		if c.view.askOf[id] != "" || c.view.removal[id] != "" {
+		if c.view.rentalOf[id] != "" || c.view.removal[id] != "" {
 			continue
 		}
 		l.sequence++
 		name := fmt.Sprintf("r-%d-%d", l.term, l.sequence)
-		key := bookkeeping.Key(bookkeeping.KindAsk, name)
-		rec := bookkeeping.Ask{Phase: bookkeeping.AskProvisioning, Type: e.Type, Zone: e.Zone, Spot: e.Spot, Count: 1,
+		key := bookkeeping.Key(bookkeeping.KindRental, name)
+		rec := bookkeeping.Rental{Phase: bookkeeping.RentalProvisioning, Type: e.Type, Zone: e.Zone, Spot: e.Spot, Count: 1,
 			Machines: []string{id}, Live: c.able(), At: c.env.Wall()}
 		c.log.Info("machine that nobody asked for", "machine", id, "type", e.Type, "zone", e.Zone)
 		c.leaderCommit(bookkeeping.RankRest, key, protocol.Txn{
@@ -365,25 +365,25 @@
 // ---- requests ----
 
 // asks moves rental requests on.
-func (c *Core) asks(now micros.T) {
+func (c *Core) rentals(now micros.T) {
 	l := &c.leader
 	wall := c.env.Wall()
-	for _, name := range sortedKeys(c.view.asks) {
-		a := c.view.asks[name]
-		key := bookkeeping.Key(bookkeeping.KindAsk, name)
+	for _, name := range sortedKeys(c.view.rentals) {
+		a := c.view.rentals[name]
+		key := bookkeeping.Key(bookkeeping.KindRental, name)
 		age := micros.T(wall - a.rec.At)
 		drop := protocol.Txn{If: []protocol.Cond{{Key: key, Version: a.version}}, Then: []protocol.Op{{Delete: key}}}
 		switch a.rec.Phase {
-		case bookkeeping.AskPending:
-			if !l.asking[name] && now >= l.askAt[name] && c.cloudGate.Ready(now, 1) == 0 {
+		case bookkeeping.RentalPending:
+			if !l.probing[name] && now >= l.rentAt[name] && c.cloudGate.Ready(now, 1) == 0 {
 				c.rent(name, a)
 			}
-		case bookkeeping.AskUnmet:
+		case bookkeeping.RentalUnmet:
 			if age > c.set.UnmetTTL.T() {
 				l.recover++
 				c.leaderCommit(bookkeeping.RankRest, key, drop, nil)
 			}
-		case bookkeeping.AskProvisioning:
+		case bookkeeping.RentalProvisioning:
 			missing := c.missing(a)
 			able := c.able()
 			orphans := false
@@ -411,7 +411,7 @@
 				// Those who were to claim them have gone, or can't: name others.
 				rec := a.rec
 				rec.Live, rec.Own = able, nil
-				c.leaderCommit(bookkeeping.RankPage, key, protocol.Txn{
+				c.leaderCommit(bookkeeping.RankShard, key, protocol.Txn{
 					If:   []protocol.Cond{{Key: key, Version: a.version}},
 					Then: []protocol.Op{{Put: key, Value: protocol.MustMarshal(&rec)}},
 				}, nil)
@@ -421,7 +421,7 @@
 }
 
 // missing lists the machines of a request that haven't come up.
-func (c *Core) missing(a *askView) []string {
+func (c *Core) missing(a *rentalView) []string {
 	var out []string
 	for _, id := range a.rec.Machines {
 		if m := c.view.machines[id]; (m == nil || m.rec == nil) && c.view.removal[id] == "" {
@@ -433,9 +433,9 @@
 
 // rent makes the cloud call of a request. Its name was written before, so a new
 // leader repeats the very same call and the cloud gives the same answer.
-func (c *Core) rent(name string, a *askView) {
+func (c *Core) rent(name string, a *rentalView) {
 	l := &c.leader
-	l.asking[name] = true
+	l.probing[name] = true
 	c.cloudGate.Take(1)
 	term := l.term
 	call := &protocol.CloudCall{Op: protocol.CloudRent, Within: cloudTimeout, Rent: protocol.RentRequest{
@@ -444,54 +444,54 @@
 		if term != c.leader.term {
 			return
 		}
-		delete(c.leader.asking, name)
-		c.leader.askAt[name] = c.now() + cloudPause
+		delete(c.leader.probing, name)
+		c.leader.rentAt[name] = c.now() + cloudPause
 		c.noteCloud(r.Outcome)
 		rec := a.rec
 		switch {
 		case r.Outcome == protocol.OK && len(r.Rented) > 0:
-			rec.Phase, rec.Machines, rec.Live = bookkeeping.AskProvisioning, r.Rented, c.able()
+			rec.Phase, rec.Machines, rec.Live = bookkeeping.RentalProvisioning, r.Rented, c.able()
 			c.log.Info("machines rented", "ask", name, "type", rec.Type, "zone", rec.Zone, "spot", rec.Spot, "asked", rec.Count, "got", len(r.Rented))
 		case r.Outcome == protocol.OK, r.Outcome == protocol.NoCapacity:
-			rec.Phase = bookkeeping.AskUnmet
+			rec.Phase = bookkeeping.RentalUnmet
 			c.log.Info("no capacity, offer sidelined", "type", rec.Type, "zone", rec.Zone, "spot", rec.Spot)
 		case r.Outcome == protocol.Rejected:
 			c.log.Error("cloud rejects a request", "ask", name, "type", rec.Type)
-			rec.Phase = bookkeeping.AskUnmet
+			rec.Phase = bookkeeping.RentalUnmet
 		default:
 			// Throttled, troubled or unknown: says nothing about the offer. The
 			// same name is asked again.
 			return
 		}
 		rec.At = c.env.Wall()
-		key := bookkeeping.Key(bookkeeping.KindAsk, name)
+		key := bookkeeping.Key(bookkeeping.KindRental, name)
 		t := protocol.Txn{
 			If:   []protocol.Cond{{Key: key, Version: a.version}},
 			Then: []protocol.Op{{Put: key, Value: protocol.MustMarshal(&rec)}},
 		}
-		if rec.Phase == bookkeeping.AskProvisioning && len(r.Rented) < rec.Count {
+		if rec.Phase == bookkeeping.RentalProvisioning && len(r.Rented) < rec.Count {
 			// Partly filled: the rest isn't to be had for now.
-			un := bookkeeping.Ask{Phase: bookkeeping.AskUnmet, Type: rec.Type, Zone: rec.Zone, Spot: rec.Spot, At: rec.At}
+			un := bookkeeping.Rental{Phase: bookkeeping.RentalUnmet, Type: rec.Type, Zone: rec.Zone, Spot: rec.Spot, At: rec.At}
 			t.Then = append(t.Then, protocol.Op{Put: key + "-rest", Value: protocol.MustMarshal(&un)})
 		}
-		c.leaderCommit(bookkeeping.RankPage, key, t, nil)
+		c.leaderCommit(bookkeeping.RankShard, key, t, nil)
 	})
 }
 
 // ask writes a request; its cloud call follows once it is written. The name
 // holds the term, so no other leader ever uses it.
-func (c *Core) ask(o offer, n int) {
+func (c *Core) rental(o offer, n int) {
 	l := &c.leader
 	l.sequence++
 	name := fmt.Sprintf("r-%d-%d", l.term, l.sequence)
-	key := bookkeeping.Key(bookkeeping.KindAsk, name)
-	rec := bookkeeping.Ask{Phase: bookkeeping.AskPending, Type: o.typ, Zone: o.zone, Spot: o.spot, Count: n, At: c.env.Wall()}
-	c.leaderCommit(bookkeeping.RankPage, key, protocol.Txn{
+	key := bookkeeping.Key(bookkeeping.KindRental, name)
+	rec := bookkeeping.Rental{Phase: bookkeeping.RentalPending, Type: o.typ, Zone: o.zone, Spot: o.spot, Count: n, At: c.env.Wall()}
+	c.leaderCommit(bookkeeping.RankShard, key, protocol.Txn{
 		If:   []protocol.Cond{{Key: key, Version: 0}},
 		Then: []protocol.Op{{Put: key, Value: protocol.MustMarshal(&rec)}},
 	}, func(r protocol.StoreResult) {
 		if r.Outcome == protocol.OK {
-			c.asks(c.now())
+			c.rentals(c.now())
 		}
 	})
 }
--- a/internal/coordination/learning.go
+++ b/internal/coordination/learning.go
@@ -65,9 +65,9 @@
 	due        int      // tasks that it is to have begun before it is starved no more
 	movedAt    micros.T // when that was
 	sharedAt   micros.T // when its record last changed: who is to place its tasks
-	handedAt   micros.T // when its tasks were last handed to another part
+	handedAt   micros.T // when its tasks were last handed to another partition
 	overAt     micros.T // when its answer was seen; 0: before we looked
-	taken      int      // tasks that we have just taken over from other parts
+	taken      int      // tasks that we have just taken over from other partitions
 	takenUntil micros.T
 }
 
--- a/internal/coordination/limits.go
+++ b/internal/coordination/limits.go
@@ -9,17 +9,17 @@
 	"pipitgap/internal/protocol"
 )
 
-// What a part may use of the teams' limits.
+// What a partition may use of the teams' limits.
 
-// shortage is what assignments lacked of a part's share.
+// shortage is what assignments lacked of a partition's share.
 type shortage struct {
 	least, all amount // for one task, and for all
 	usable     bool   // a machine has room for one of them
 }
 
-// partShare is what a part may use of a team's limit, by its record.
-func (c *Core) partShare(part, team string) amount {
-	if p := c.view.parts[part]; p != nil {
+// partShare is what a partition may use of a team's limit, by its record.
+func (c *Core) partitionShare(partition, team string) amount {
+	if p := c.view.partitions[partition]; p != nil {
 		a := p.rec.Shares[team]
 		return amount{exact(a.CPUs), exact(a.GPUs), math.Inf(1)}
 	}
@@ -31,13 +31,13 @@
 // when tasks are assigned under it.
 type sharesInDoubt struct {
 	version uint64
-	rec     bookkeeping.Part
+	rec     bookkeeping.Partition
 }
 
 // ownShare is what we may use of a team's limit, whatever becomes of commits in doubt.
 func (c *Core) ownShare(team string) amount {
-	share := c.partShare(c.node, team)
-	version := c.view.versionOf(partOf(c.node))
+	share := c.partitionShare(c.node, team)
+	version := c.view.versionOf(partitionKey(c.node))
 	for _, d := range c.inDoubt {
 		if d.version == version {
 			share.cpus = min(share.cpus, exact(d.rec.Shares[team].CPUs))
@@ -50,22 +50,22 @@
 // settleShares forgets commits in doubt that were conditional on another version than
 // that of our record now.
 func (c *Core) settleShares() {
-	version := c.view.versionOf(partOf(c.node))
+	version := c.view.versionOf(partitionKey(c.node))
 	c.inDoubt = slices.DeleteFunc(c.inDoubt, func(d sharesInDoubt) bool { return d.version != version })
 }
 
-// partUse is what attempts in our pages take of a team's limit, at most. What a
-// commit in doubt may have assigned counts as well, and so do pages of an earlier
+// partUse is what attempts in our shards take of a team's limit, at most. What a
+// commit in doubt may have assigned counts as well, and so do shards of an earlier
 // life of ours that we haven't claimed again yet: they are within the same share.
-func (c *Core) partUse(team string) amount {
+func (c *Core) partitionUse(team string) amount {
 	use := amount{}
-	for _, p := range c.view.pages {
+	for _, p := range c.view.shards {
 		if p.rec.Owner == c.node {
 			use = use.plus(p.use[team], 1)
 		}
 	}
-	for _, s := range c.pages {
-		for _, d := range s.floating {
+	for _, s := range c.shards {
+		for _, d := range s.inDoubtUpdates {
 			use = use.plus(d.use[team], 1)
 		}
 	}
@@ -79,7 +79,7 @@
 	if !limit.limited() {
 		return room
 	}
-	have, use := c.ownShare(team), c.partUse(team)
+	have, use := c.ownShare(team), c.partitionUse(team)
 	if limit.CPUsMax > 0 {
 		room.cpus = have.cpus - use.cpus
 	}
@@ -93,7 +93,7 @@
 func (c *Core) pool(team string) amount {
 	limit, _ := c.team(team)
 	room := limit.left(amount{})
-	for _, p := range c.view.parts {
+	for _, p := range c.view.partitions {
 		a := p.rec.Shares[team]
 		room = room.plus(amountOf(a.CPUs, a.GPUs, 0), -1)
 	}
@@ -108,7 +108,7 @@
 	// nearlyAllocated is the unallocated part of a limit below which unused shares are
 	// given back.
 	nearlyAllocated = 0.15
-	// lackingFor is how long a part lacks some of a limit before it says so: while
+	// lackingFor is how long a partition lacks some of a limit before it says so: while
 	// machines come up and jobs end, shares move by themselves.
 	lackingFor = 8 * micros.Second
 	// lackNews is how long a peer's word that it lacks some of a limit counts.
@@ -117,13 +117,13 @@
 
 // tendShares raises our shares where assignments lacked some, and gives back what
 // we don't use of a team whose limit is nearly handed out. A raise depends on the
-// records of all parts, a lowering on ours alone; either changes our record, on
+// records of all partitions, a lowering on ours alone; either changes our record, on
 // which our assignments depend.
-func (c *Core) tendShares(now micros.T) {
-	if c.partBusy || c.storeDown || !c.leaseHeld(now) {
+func (c *Core) adjustShares(now micros.T) {
+	if c.partitionBusy || c.storeDown || !c.leaseHeld(now) {
 		return
 	}
-	for _, s := range c.pages {
+	for _, s := range c.shards {
 		if s.busyAt != 0 {
 			return
 		}
@@ -161,9 +161,9 @@
 }
 
 // ownShares copies our record of shares and gives its version.
-func (c *Core) ownShares() (next bookkeeping.Part, version uint64) {
+func (c *Core) ownShares() (next bookkeeping.Partition, version uint64) {
 	next.Shares = map[string]bookkeeping.Amount{}
-	if mine := c.view.parts[c.node]; mine != nil {
+	if mine := c.view.partitions[c.node]; mine != nil {
 		version = mine.version
 		for team, share := range mine.rec.Shares {
 			next.Shares[team] = share
@@ -182,7 +182,7 @@
 	switch {
 	case wants && (unallocated.cpus+slack < short.least.cpus || unallocated.gpus+slack < short.least.gpus):
 		// Not enough for a single task here, and what we have left over may be
-		// what another part lacks: several such rests add up to a task.
+		// what another partition lacks: several such rests add up to a task.
 		return c.loweredShare(team, have, amount{}), short.usable
 	case c.lostAt != 0:
 		return c.loweredShare(team, have, amount{}), false // nothing can start here
@@ -195,8 +195,8 @@
 	if unallocated.cpus > nearlyAllocated*limit.CPUsMax && (limit.GPUsMax == 0 || unallocated.gpus > nearlyAllocated*limit.GPUsMax) {
 		return have, false
 	}
-	part := keptUnused / float64(c.liveShare)
-	return c.loweredShare(team, have, amount{cpus: part * limit.CPUsMax, gpus: part * limit.GPUsMax}), false
+	partition := keptUnused / float64(c.liveShare)
+	return c.loweredShare(team, have, amount{cpus: partition * limit.CPUsMax, gpus: partition * limit.GPUsMax}), false
 }
 
 // limitLacking lists the teams of whose limit we have lacked a task's worth for so long
@@ -214,9 +214,9 @@
 // raisedShare takes what is lacking, and half of an even part of what is left: a raise
 // costs a change, and what one part has no other can use.
 func (c *Core) raisedShare(limit teamLimit, have bookkeeping.Amount, short shortage, unallocated amount) bookkeeping.Amount {
-	part := 1 / (2 * float64(c.liveShare))
+	partition := 1 / (2 * float64(c.liveShare))
 	grow := func(have, short, left float64) float64 {
-		grown := exact(have + min(max(0, left), max(short, 0)+max(0, left-short)*part))
+		grown := exact(have + min(max(0, left), max(short, 0)+max(0, left-short)*partition))
 		if grown > have+slack {
 			return grown
 		}
@@ -234,7 +234,7 @@
 // loweredShare gives back what is more than twice a margin above what we use, down to
 // the margin.
 func (c *Core) loweredShare(team string, have bookkeeping.Amount, margin amount) bookkeeping.Amount {
-	use := c.partUse(team)
+	use := c.partitionUse(team)
 	lower := bookkeeping.Amount{
 		CPUs: max(0, min(have.CPUs, use.cpus+margin.cpus)),
 		GPUs: max(0, min(have.GPUs, use.gpus+margin.gpus)),
@@ -245,9 +245,9 @@
 	return have
 }
 
-// writeShares commits our record. A raise asks for the records of all parts.
-func (c *Core) writeShares(next bookkeeping.Part, version uint64, raised bool) {
-	key := partOf(c.node)
+// writeShares commits our record. A raise asks for the records of all partitions.
+func (c *Core) writeShares(next bookkeeping.Partition, version uint64, raised bool) {
+	key := partitionKey(c.node)
 	t := protocol.Txn{
 		If:   []protocol.Cond{{Key: key, Version: version}},
 		Then: []protocol.Op{{Put: key, Value: protocol.MustMarshal(&next)}},
@@ -257,19 +257,19 @@
 		for _, n := range c.all {
 			names[n] = true
 		}
-		for n := range c.view.parts {
+		for n := range c.view.partitions {
 			names[n] = true
 		}
 		for _, n := range sortedKeys(names) {
 			if n != c.node {
-				t.If = append(t.If, protocol.Cond{Key: partOf(n), Version: c.view.versionOf(partOf(n))})
+				t.If = append(t.If, protocol.Cond{Key: partitionKey(n), Version: c.view.versionOf(partitionKey(n))})
 			}
 		}
 	}
-	c.partBusy = true
+	c.partitionBusy = true
 	doubt := sharesInDoubt{version, next}
-	c.commit(bookkeeping.RankPage, t, func(r protocol.StoreResult) {
-		c.partBusy = false
+	c.commit(bookkeeping.RankShard, t, func(r protocol.StoreResult) {
+		c.partitionBusy = false
 		c.dirty = true
 		if r.Outcome == protocol.Unknown {
 			c.inDoubt = append(c.inDoubt, doubt)
@@ -278,31 +278,31 @@
 }
 
 // freeShares gives back what a controller that has gone still
-// has of the teams' limits once all of its pages are others': its share went with them
+// has of the teams' limits once all of its shards are others': its share went with them
 // but for what it had kept for later, and a team at its limit lacked that for as long as
 // the controller was away. Whatever it may yet write asks for the record that is dropped,
 // and it must not have come back: one that is cut off from its machines lowers its own.
 func (c *Core) freeShares(now micros.T) {
-	if c.storeDown || c.partBusy || !c.leaseHeld(now) {
+	if c.storeDown || c.partitionBusy || !c.leaseHeld(now) {
 		return
 	}
 	able := c.able()
-	for _, n := range sortedKeys(c.view.parts) {
-		p := c.view.parts[n]
-		if n == c.node || home(n, able) != c.node || c.jobBusy[partOf(n)] || c.view.watched < p.version ||
+	for _, n := range sortedKeys(c.view.partitions) {
+		p := c.view.partitions[n]
+		if n == c.node || home(n, able) != c.node || c.jobBusy[partitionKey(n)] || c.view.watched < p.version ||
 			c.isLive(n) || now-c.gone(n, now) <= micros.Second {
 			continue
 		}
 		left := false
-		for _, pg := range c.view.pages {
+		for _, pg := range c.view.shards {
 			left = left || pg.rec.Owner == n
 		}
 		if left {
 			continue
 		}
-		key := partOf(n)
+		key := partitionKey(n)
 		c.jobBusy[key] = true
-		c.commit(bookkeeping.RankPage, protocol.Txn{
+		c.commit(bookkeeping.RankShard, protocol.Txn{
 			If:   []protocol.Cond{{Key: key, Version: p.version}, {Key: bookkeeping.Key(bookkeeping.KindMember, n)}},
 			Then: []protocol.Op{{Delete: key}},
 		}, func(r protocol.StoreResult) {
@@ -315,18 +315,18 @@
 	}
 }
 
-func partOf(node string) string { return bookkeeping.Key(bookkeeping.KindPart, node) }
+func partitionKey(node string) string { return bookkeeping.Key(bookkeeping.KindPartition, node) }
 
 // moveShares has the shares of the teams' limits follow attempts that go over
-// from one part's pages into another's.
+// from one part's shards into another's.
 func (c *Core) moveShares(t *protocol.Txn, conds map[string]bool, from, to string, use map[string]amount) {
-	theirs, mine := c.view.parts[from], c.view.parts[to]
+	theirs, mine := c.view.partitions[from], c.view.partitions[to]
 	if theirs == nil {
 		return // it never had any: none of its teams has a limit
 	}
-	keys := []string{bookkeeping.Key(bookkeeping.KindPart, from), bookkeeping.Key(bookkeeping.KindPart, to)}
-	next := []bookkeeping.Part{{Shares: map[string]bookkeeping.Amount{}}, {Shares: map[string]bookkeeping.Amount{}}}
-	for i, p := range []*partView{theirs, mine} {
+	keys := []string{bookkeeping.Key(bookkeeping.KindPartition, from), bookkeeping.Key(bookkeeping.KindPartition, to)}
+	next := []bookkeeping.Partition{{Shares: map[string]bookkeeping.Amount{}}, {Shares: map[string]bookkeeping.Amount{}}}
+	for i, p := range []*partitionView{theirs, mine} {
 		if p != nil {
 			for k, v := range p.rec.Shares {
 				next[i].Shares[k] = v
@@ -338,7 +338,7 @@
 		for k := range keys {
 			if op.Put == keys[k] {
 				puts[k] = i
-				var rec bookkeeping.Part
+				var rec bookkeeping.Partition
 				if protocol.Unmarshal(op.Value, &rec) == nil {
 					next[k] = rec
 				}
--- a/internal/coordination/tending.go
+++ b/internal/coordination/machines.go
@@ -7,10 +7,10 @@
 
 // tendMachines looks after the machines that are ours: leases that have ended,
 // silence, notices, faults.
-func (c *Core) tendMachines(now micros.T) {
-	for id, s := range c.sightings {
+func (c *Core) checkMachines(now micros.T) {
+	for id, s := range c.strayVisits {
 		if now-s.last > micros.Minute {
-			delete(c.sightings, id)
+			delete(c.strayVisits, id)
 		}
 	}
 	for _, id := range sortedKeys(c.arrivals) {
@@ -32,7 +32,7 @@
 	// Not so one that we have claimed but not heard yet: it may still be looking for
 	// us. It has until its lease must have ended.
 	ours, quiet := 0, 0
-	zones, all := map[string]*hearing{}, hearing{}
+	zones, all := map[string]*heardCount{}, heardCount{}
 	for _, m := range c.view.machines {
 		if m.w == nil || m.rec == nil {
 			continue
@@ -44,7 +44,7 @@
 		}
 		z := zones[m.rec.Zone]
 		if z == nil {
-			z = &hearing{}
+			z = &heardCount{}
 			zones[m.rec.Zone] = z
 		}
 		z.count(away, m.w.session == 0)
@@ -159,7 +159,7 @@
 	removeDrained = "drained"
 )
 
-// remove has a machine given back: our page says so, and the leader deletes it.
+// remove has a machine given back: our shard says so, and the leader deletes it.
 func (c *Core) remove(m *machine, reason string) {
 	m.w.removing = reason
 	c.dirty = true
@@ -182,11 +182,11 @@
 }
 
 // hearing counts a zone's machines of ours, and which of them are silent.
-type hearing struct{ machines, silent int }
+type heardCount struct{ machines, silent int }
 
 // count adds a machine; one that was claimed just now and has had no time to be
 // heard says nothing about its zone.
-func (h *hearing) count(away, unheard bool) {
+func (h *heardCount) count(away, unheard bool) {
 	if unheard && !away {
 		return
 	}
@@ -197,7 +197,7 @@
 }
 
 // cut tells whether a zone as a whole has fallen silent.
-func (h *hearing) cut() bool { return h != nil && h.silent >= 3 && 4*h.silent >= 3*h.machines }
+func (h *heardCount) cut() bool { return h != nil && h.silent >= 3 && 4*h.silent >= 3*h.machines }
 
 // holdsCancelled tells whether the store holds tasks there of jobs that were
 // cancelled longer ago than since. What a controller hasn't seen being cancelled
--- a/internal/coordination/mirror.go
+++ b/internal/coordination/mirror.go
@@ -14,16 +14,16 @@
 	}
 	c.loading, c.ready = true, false
 	kinds := []string{
-		bookkeeping.KindAsk, bookkeeping.KindLead, bookkeeping.KindMember, bookkeeping.KindOpen,
-		bookkeeping.KindPage, bookkeeping.KindPart, bookkeeping.KindRemoval, bookkeeping.KindType,
+		bookkeeping.KindRental, bookkeeping.KindLead, bookkeeping.KindMember, bookkeeping.KindOpen,
+		bookkeeping.KindShard, bookkeeping.KindPartition, bookkeeping.KindRemoval, bookkeeping.KindType,
 	}
 	view := newView(func(string, string) {})
 	view.finals = c.view.finals
 	var first, last uint64
 	var sent micros.T // when the first list was asked for
 	begun := false
-	var page func(k int, after string)
-	page = func(k int, after string) {
+	var readList func(k int, after string)
+	readList = func(k int, after string) {
 		if k == len(kinds) {
 			c.loadAnswers(view, sortedKeys(view.jobs), func() {
 				c.freshAt = max(c.freshAt, sent)
@@ -36,7 +36,7 @@
 		c.call(bookkeeping.RankClaim, sc, func(r protocol.StoreResult) {
 			if r.Outcome != protocol.OK {
 				wait := 200*micros.Millisecond + micros.T(c.env.Rand().Int64N(int64(400*micros.Millisecond)))
-				c.env.After(wait, func() { page(k, after) })
+				c.env.After(wait, func() { readList(k, after) })
 				return
 			}
 			if !begun { // the revision of an empty store is 0
@@ -48,13 +48,13 @@
 				view.put(it.Key, it.Value, it.Version)
 			}
 			if r.More && len(r.Items) > 0 {
-				page(k, r.Items[len(r.Items)-1].Key)
+				readList(k, r.Items[len(r.Items)-1].Key)
 			} else {
-				page(k+1, "")
+				readList(k+1, "")
 			}
 		})
 	}
-	page(0, "")
+	readList(0, "")
 }
 
 // loadAnswers finds which of the listed jobs have an answer already: cancelled
@@ -115,11 +115,11 @@
 	c.view = view
 	c.loading, c.loaded, c.loadedUpTo = false, true, last
 	c.reconcileCancellations()
-	for _, name := range sortedKeys(view.pages) {
-		c.pageTouched(name)
+	for _, name := range sortedKeys(view.shards) {
+		c.shardTouched(name)
 	}
 	c.watchAt = 0
-	c.log.Info("records read", "jobs", len(view.jobs), "machines", len(view.machines), "pages", len(view.pages), "revision", last)
+	c.log.Info("records read", "jobs", len(view.jobs), "machines", len(view.machines), "shards", len(view.shards), "revision", last)
 	if first >= last {
 		c.becomeReady()
 	}
@@ -142,7 +142,7 @@
 }
 
 // asker waits for the mirror to be as new as its question.
-type asker struct {
+type waitingReader struct {
 	since micros.T
 	back  func(ok bool)
 }
@@ -152,20 +152,20 @@
 // all that wait: confirming each answer by itself cost a request for every few
 // dozen, and users of a thousand jobs ask a few hundred times a second.
 func (c *Core) current(back func(ok bool)) {
-	c.askers = append(c.askers, asker{c.now(), back})
+	c.waitingReaders = append(c.waitingReaders, waitingReader{c.now(), back})
 	if c.watching && c.now() >= c.catchAt && !c.catching {
 		c.catchUp()
 	}
 }
 
 // answerAskers serves those who came before a watch was sent that has answered.
-func (c *Core) answerAskers(sent micros.T, ok bool) {
+func (c *Core) answerReaders(sent micros.T, ok bool) {
 	n := 0
-	for n < len(c.askers) && c.askers[n].since <= sent {
+	for n < len(c.waitingReaders) && c.waitingReaders[n].since <= sent {
 		n++
 	}
-	served := c.askers[:n:n]
-	c.askers = c.askers[n:]
+	served := c.waitingReaders[:n:n]
+	c.waitingReaders = c.waitingReaders[n:]
 	for _, a := range served {
 		a.back(ok)
 	}
@@ -182,12 +182,12 @@
 		}
 		c.watching = true
 		block := watchBlock
-		if len(c.askers) > 0 {
+		if len(c.waitingReaders) > 0 {
 			block = 0
 		}
 		c.watchSent = now
 		c.watch(now, block, func() { c.watching = false })
-	} else if c.watching && len(c.askers) > 0 && c.watchSent < c.askers[0].since && now >= c.catchAt && !c.catching {
+	} else if c.watching && len(c.waitingReaders) > 0 && c.watchSent < c.waitingReaders[0].since && now >= c.catchAt && !c.catching {
 		c.catchUp() // the one in flight was sent before they asked
 	}
 }
@@ -217,11 +217,11 @@
 			return
 		case r.Outcome != protocol.OK:
 			c.watchAt = c.now() + 300*micros.Millisecond + micros.T(c.env.Rand().Int64N(int64(300*micros.Millisecond)))
-			c.answerAskers(now, false)
+			c.answerReaders(now, false)
 		case r.Revision > view.watched+uint64(c.mostChanges()):
 			c.log.Info("watch fell too far behind, reading all records again", "changes", r.Revision-view.watched)
 			c.load()
-			c.answerAskers(now, false)
+			c.answerReaders(now, false)
 		default:
 			c.measuredAt = c.now()
 			c.keepWatch(c.now())
@@ -251,7 +251,7 @@
 		ended()
 		c.noteStill(c.now())
 		if view != c.view {
-			c.answerAskers(now, false)
+			c.answerReaders(now, false)
 			return
 		}
 		switch r.Outcome {
@@ -265,14 +265,14 @@
 			if !c.ready && c.view.watched >= c.loadedUpTo {
 				c.becomeReady()
 			}
-			c.answerAskers(now, c.ready)
+			c.answerReaders(now, c.ready)
 			if len(r.Events) > 0 && c.ready {
 				c.fast(c.now())
 			}
 		case protocol.TooOld:
 			c.log.Info("watch fell behind, reading all records again")
 			c.load()
-			c.answerAskers(now, false)
+			c.answerReaders(now, false)
 		case protocol.Throttled:
 			c.watchAt = max(c.watchAt, c.now()+100*micros.Millisecond)
 			c.catchAt = c.watchAt
@@ -280,7 +280,7 @@
 			c.noteStore(r.Outcome)
 			c.watchAt = c.now() + 300*micros.Millisecond + micros.T(c.env.Rand().Int64N(int64(300*micros.Millisecond)))
 			c.catchAt = c.watchAt
-			c.answerAskers(now, false)
+			c.answerReaders(now, false)
 		}
 	})
 }
--- a/internal/coordination/order.go
+++ b/internal/coordination/order.go
@@ -29,7 +29,7 @@
 // Those few must not wait for ever either: shortly before the next of its aims
 // passes, a job that is past its first ones goes before all that are in time.
 // Before all other arrays, whatever their priority, comes one that has been
-// waiting in vain for long, with a part of its tasks.
+// waiting in vain for long, with a partition of its tasks.
 func (a standing) before(b standing) bool {
 	x, y := a.job, b.job
 	if a.last != b.last {
@@ -88,7 +88,7 @@
 }
 
 // rescue leaves urgent, of each team's late jobs that are, those with the least work,
-// as far as late jobs hold no more than a part of what the team can use. After a burst
+// as far as late jobs hold no more than a partition of what the team can use. After a burst
 // most that waits is late; were all of it to go first, all that comes after would be
 // late too. What they hold counts, not what waits: others become urgent as these go.
 func (c *Core) rescue(all []standing, wall int64) {
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -27,8 +27,8 @@
 // candidate is a machine with the room that a pass still has on it.
 type candidate struct {
 	m      *machine
-	rec    *bookkeeping.PageMachine
-	d      *draft // nil where only the room counts
+	rec    *bookkeeping.ShardMachine
+	d      *shardUpdate // nil where only the room counts
 	free   amount
 	served float64 // CPUs that services hold, this pass's too
 	tasks  int
@@ -56,8 +56,8 @@
 	return now-w.aliveAt < 2*report+micros.Second
 }
 
-// candidates lists the machines of the drafts that may get tasks.
-func (c *Core) candidates(ds []*draft, now micros.T) []*candidate {
+// candidates lists the machines of the updates that may get tasks.
+func (c *Core) candidates(ds []*shardUpdate, now micros.T) []*candidate {
 	var out []*candidate
 	for _, d := range ds {
 		for _, id := range sortedKeys(d.next.Machines) {
@@ -79,13 +79,13 @@
 }
 
 // mayRun tells whether a job's tasks may run on a machine.
-func mayRun(s *bookkeeping.Spec, m *bookkeeping.PageMachine) bool {
+func mayRun(s *bookkeeping.Spec, m *bookkeeping.ShardMachine) bool {
 	return allowed(s, m.Type, m.Zone) && (s.Spot || !m.Spot)
 }
 
-// place gives pending tasks of our shares to machines of the drafts; where
+// place gives pending tasks of our shares to machines of the updates; where
 // nothing has room it makes some, or looks who could.
-func (c *Core) place(ds []*draft, now micros.T) {
+func (c *Core) place(ds []*shardUpdate, now micros.T) {
 	if c.types == nil || !c.leaseHeld(now) {
 		return
 	}
@@ -93,7 +93,7 @@
 	if len(jobs) == 0 {
 		return
 	}
-	c.turnJobs = map[string]bool{}
+	c.passJobs = map[string]bool{}
 	c.served = 0
 	for _, j := range c.view.jobs {
 		if j.rec.Spec.Service && j.open() {
@@ -103,14 +103,14 @@
 	cands := c.candidates(ds, now)
 	c.keepMade(cands, now)
 	sample := len(cands) > fullSearch && len(cands)*len(jobs) > fullWork
-	floating := c.floatingTasks()
+	inDoubtUpdates := c.tasksInDoubt()
 	wall := c.env.Wall()
 	left := map[string]amount{}  // of our share of limited teams
-	full := map[likeOf]bool{}    // what no machine has room for in this turn: room only shrinks in it
+	full := map[likeOf]bool{}    // what no machine has room for in this pass: room only shrinks in it
 	hasRoom := map[likeOf]bool{} // of what lacks a share of its team's limit: whether it could start here
-	var parts *partRooms
+	var partitions *freeCapacity
 	elsewhere := false // a job that waits elsewhere has room kept here
-	partKey := bookkeeping.Key(bookkeeping.KindPart, c.node)
+	ownPartition := bookkeeping.Key(bookkeeping.KindPartition, c.node)
 	for _, j := range jobs {
 		spec := &j.rec.Spec
 		notes := c.jobNotes(j.id)
@@ -142,27 +142,27 @@
 		fenced := spec.OneZone || spec.Spread
 		zones := newZoneRule(c.view, j)
 		pending := 0
-		// Without a share of the team's limit only what a page gives back counts.
+		// Without a share of the team's limit only what a shard gives back counts.
 		kind, short := like(spec, ""), like(spec, spec.Team)
 		made := c.preempting[j.id]
 		making := made != nil && now < made.until // machines are kept for it
 		roomless, lacking := full[kind] && j.need.fits(room) && !making, full[short] && !j.need.fits(room) && !making
-		var only *draft // a fenced job's tasks go out by one commit at a time
+		var only *shardUpdate // a fenced job's tasks go out by one commit at a time
 		var cd *candidate
-		var near *draft // the page that the job's last tasks went to
+		var near *shardUpdate // the shard that the job's last tasks went to
 		var lastOn *machine
 		lastTask := 0
-		limit := c.pageShare(spec)
+		limit := c.shardBytes(spec)
 	shares:
 		for _, s := range j.rec.Shares {
-			if s.Part != c.node {
+			if s.Partition != c.node {
 				continue
 			}
 			for i := s.First; i < s.End; i++ {
 				if j.state[i] != 0 {
 					continue
 				}
-				if floating[taskRef{j.id, i}] {
+				if inDoubtUpdates[taskRef{j.id, i}] {
 					if fenced {
 						break shares
 					}
@@ -172,7 +172,7 @@
 				if roomless || lacking || most == 0 {
 					continue
 				}
-				// What a page's own attempts give back can be used by the same write.
+				// What a shard's own attempts give back can be used by the same write.
 				again := !j.need.fits(room)
 				if cd == nil || again && !j.need.fits(cd.d.given[spec.Team]) || spec.Service || !j.need.fits(cd.free) || !zones.ok(cd.rec.Zone) || cd.tasks >= mostOnMachine ||
 					cd.d.bound+2*bookkeeping.TaskBound(i) > limit {
@@ -200,7 +200,7 @@
 					d.cond(bookkeeping.Key(bookkeeping.KindJob, j.id), 0)
 				}
 				if team.limited() {
-					d.cond(partKey, c.view.versionOf(partKey))
+					d.cond(ownPartition, c.view.versionOf(ownPartition))
 				}
 				if lastOn == cd.m && lastTask == i-1 {
 					d.bound += bookkeeping.TaskBound(i) + 1 // it joins the range before
@@ -209,7 +209,7 @@
 				}
 				lastOn, lastTask = cd.m, i
 				d.changed = true
-				c.turnJobs[j.id] = true
+				c.passJobs[j.id] = true
 				d.next.Assign(j.id, bookkeeping.Held{Task: i, Machine: cd.m.id, Attempt: c.view.newest})
 				d.tasks[taskRef{j.id, i}] = true
 				d.taken[cd.m.id] = d.taken[cd.m.id].plus(j.need, 1)
@@ -249,8 +249,8 @@
 		if pending == 0 && !spec.Service && !fenced && !elsewhere && !full[kind] && j.waiting() > 0 && c.pressed(j, wall) {
 			// What has an aim to meet and is more urgent than all of ours that follows
 			// goes before it, wherever it waits. Small jobs of large tasks sat out their
-			// deadlines in a part without a gap while others gave theirs to tasks that
-			// had time. One a turn: taking them over costs a change.
+			// deadlines in a partition without a gap while others gave theirs to tasks that
+			// had time. One a pass: taking them over costs a change.
 			n := roomFor(j, cands)
 			if n == 0 {
 				full[kind] = true
@@ -260,10 +260,10 @@
 			if now < c.takeAt {
 				continue // others use the room until a change may be spent
 			}
-			if parts == nil {
-				parts = c.partRooms()
+			if partitions == nil {
+				partitions = c.freeCapacity()
 			}
-			n = c.takeJob(j, cands, left, parts, wall)
+			n = c.takeJob(j, cands, left, partitions, wall)
 			notes.taken, notes.takenUntil = n, now+micros.Second
 			elsewhere = n > 0
 			reserve(j.need, spec, cands, min(n, j.waiting()))
@@ -289,10 +289,10 @@
 		// Each hand-over costs a change, and so does taking tasks over, which comes
 		// after: a service that only tried its turn in between never had it.
 		if !c.preempt(j, want, zones, cands, false, now) && now-notes.handedAt > handPause && now >= c.takeAt {
-			if parts == nil {
-				parts = c.partRooms()
+			if partitions == nil {
+				partitions = c.freeCapacity()
 			}
-			if to := parts.mostVictims(j, c.node); to != "" && c.handOver(j, to) {
+			if to := partitions.mostVictims(j, c.node); to != "" && c.handOver(j, to) {
 				notes.handedAt = now
 			}
 		}
@@ -303,7 +303,7 @@
 
 // likeOf is what decides on which machines a task may run and whether it fits, and
 // within which team's limit if that is what is short. Of thousands of waiting tasks
-// most are like another: each turn looks at all machines once for all of these.
+// most are like another: each pass looks at all machines once for all of these.
 type likeOf struct {
 	need              amount
 	spot              bool
@@ -334,20 +334,20 @@
 	}
 }
 
-// pageLimit is how large a page may get by assignments.
-func (c *Core) pageLimit() int { return int(mostOfPage * float64(c.valueBytes())) }
+// pageLimit is how large a shard may get by assignments.
+func (c *Core) shardLimit() int { return int(mostOfShard * float64(c.valueBytes())) }
 
-// pageShare is how large a page may get by a job's tasks. A machine takes as many tasks
-// as its page has bytes for: thousands of tiny ones filled the pages, and others found
+// pageShare is how large a shard may get by a job's tasks. A machine takes as many tasks
+// as its shard has bytes for: thousands of tiny ones filled the shards, and others found
 // no machine beside room for all of them.
-func (c *Core) pageShare(s *bookkeeping.Spec) int {
+func (c *Core) shardBytes(s *bookkeeping.Spec) int {
 	if !s.Service && s.Priority == int(protocol.BestEffort) {
-		return c.pageLimit() * 8 / 10
+		return c.shardLimit() * 8 / 10
 	}
-	return c.pageLimit()
+	return c.shardLimit()
 }
 
-// lacks notes that a part's share of a team's limit keeps tasks waiting.
+// lacks notes that a partition's share of a team's limit keeps tasks waiting.
 func (c *Core) lacks(team string, need amount, tasks int, room amount, usable bool) {
 	s, ok := c.teamShort[team]
 	s.usable = s.usable || usable
@@ -402,14 +402,14 @@
 // choose picks the machine for a task: spot before ordinary where the job may,
 // one that has the image, the tightest fit. Under overload it looks at a sample,
 // and at all before it says that there is no room.
-// given: only pages that give back enough of the team's share.
+// given: only shards that give back enough of the team's share.
 // idle: ordinary machines only where services keep them in any case.
-func (c *Core) choose(j *job, cands []*candidate, zones *zoneRule, only, near *draft, sample, given, idle bool) *candidate {
+func (c *Core) choose(j *job, cands []*candidate, zones *zoneRule, only, near *shardUpdate, sample, given, idle bool) *candidate {
 	var best *candidate
 	bestScore := math.Inf(1)
 	spec := &j.rec.Spec
 	notes := c.jobState[j.id]
-	limit, conds := c.pageShare(spec)-len(j.id)-32, 4*c.cfg.Facts.State.TxnOps-4
+	limit, conds := c.shardBytes(spec)-len(j.id)-32, 4*c.cfg.Facts.State.TxnOps-4
 	look := func(cd *candidate) {
 		c.stats.looked++
 		if !j.need.fits(cd.free) || !cd.keptFor(j) || !mayRun(spec, cd.rec) || !zones.ok(cd.rec.Zone) || cd.tasks >= mostOnMachine ||
@@ -448,7 +448,7 @@
 		}
 	}
 	if near != nil && !spec.Service {
-		// A job that stands in few pages takes little of each: every page that names
+		// A job that stands in few shards takes little of each: every shard that names
 		// it spends its id, two conditions, and numbers of tasks that are no ranges.
 		for _, cd := range near.cands {
 			look(cd)
@@ -492,14 +492,14 @@
 // fleetPart of what all services hold, if that is more: then losing the machine is
 // no more of a loss. fullPart is the most that they are to hold.
 const (
-	packedPart = 4
-	fleetPart  = 0.02
-	fullPart   = 0.75
+	packedRange = 4
+	fleetPart   = 0.02
+	fullPart    = 0.75
 )
 
 // packed is up to how many of a machine's CPUs services are drawn to it.
 func (c *Core) packed(cpus float64) float64 {
-	return min(max(cpus/packedPart, fleetPart*c.served), fullPart*cpus)
+	return min(max(cpus/packedRange, fleetPart*c.served), fullPart*cpus)
 }
 
 // worseKind is what it costs a machine to be closing, or an ordinary one for a task
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -54,7 +54,7 @@
 // nothing to do. Services never end, so none of their tasks is absorbed. With
 // later, only tasks that may use spot machines are taken, and by as long as their
 // own aim lets them wait, at most part: an ordinary machine is dear for them.
-func absorb(ds []*demand, bins []*bin, part float64, later bool) {
+func absorb(ds []*demand, bins []*bin, partition float64, later bool) {
 	byUrgency := append([]*demand(nil), ds...)
 	sort.SliceStable(byUrgency, func(a, b int) bool { return byUrgency[a].index < byUrgency[b].index })
 	for _, d := range byUrgency {
@@ -66,7 +66,7 @@
 			if d.count == 0 {
 				break
 			}
-			horizon := part * b.boot
+			horizon := partition * b.boot
 			if later {
 				horizon = min(horizon, max(d.slack, leastWait*b.boot))
 			}
@@ -115,13 +115,13 @@
 			}
 			left := d.need // of each, what hasn't been taken from what is free
 			left = amount{left.cpus * float64(n), left.gpus * float64(n), left.mem * float64(n)}
-			part := func(a amount) amount {
+			partition := func(a amount) amount {
 				return amount{min(a.cpus, left.cpus), min(a.gpus, left.gpus), min(a.mem, left.mem)}
 			}
-			t := part(b.free)
+			t := partition(b.free)
 			b.free, left = b.free.plus(t, -1), left.plus(t, -1)
 			for p := 0; p < d.spec.Priority; p++ {
-				t := part(b.yields[p])
+				t := partition(b.yields[p])
 				if t != (amount{}) {
 					b.yields[p], left = b.yields[p].plus(t, -1), left.plus(t, -1)
 				}
--- a/internal/coordination/plan_test.go
+++ b/internal/coordination/plan_test.go
@@ -35,11 +35,11 @@
 		return out
 	}
 	cases := []struct {
-		name string
-		ds   []*demand
-		bins []*bin
-		part float64
-		want map[offer]int
+		name      string
+		ds        []*demand
+		bins      []*bin
+		partition float64
+		want      map[offer]int
 	}{
 		{"no demand", nil, nil, 0, map[offer]int{}},
 		{"room is there", []*demand{demandOf(2, 4, false, false)}, []*bin{binOf("a", false, 8)}, 0, map[offer]int{}},
@@ -58,7 +58,7 @@
 	for _, tc := range cases {
 		largestFirst(tc.ds)
 		fill(tc.ds, tc.bins)
-		absorb(tc.ds, tc.bins, tc.part, false)
+		absorb(tc.ds, tc.bins, tc.partition, false)
 		got := map[offer]int{}
 		plan(tc.ds, offers(), 10, nil, got)
 		if !reflect.DeepEqual(got, tc.want) {
@@ -120,7 +120,7 @@
 }
 
 // TestRescue: of each team's late jobs those with least work are urgent before their
-// next aim, up to a part of what the team can run.
+// next aim, up to a partition of what the team can run.
 func TestRescue(t *testing.T) {
 	c := newCluster(t, 3)
 	c.teams = []config.Team{{Name: "free"}, {Name: "tight", CPUsMax: 12}}
@@ -132,7 +132,7 @@
 	core := c.nodes["n-0"].core
 	c.sim.Run(500 * sec)
 	core.types = map[string]protocol.MachineType{"m16": {Name: "m16", CPUs: 16}}
-	core.view.machines["i-1"] = &machine{id: "i-1", rec: &bookkeeping.PageMachine{Type: "m16", State: bookkeeping.MachineOpen}}
+	core.view.machines["i-1"] = &machine{id: "i-1", rec: &bookkeeping.ShardMachine{Type: "m16", State: bookkeeping.MachineOpen}}
 	add := func(team string, age, cpus float64, tasks int) string {
 		id := fmt.Sprintf("j-%06d", len(core.view.jobs))
 		core.view.jobs[id] = &job{id: id, state: make([]uint8, tasks), need: amount{cpus: cpus}, rec: bookkeeping.OpenJob{
@@ -141,7 +141,7 @@
 		return id
 	}
 	fresh := add("free", 5, 2, 1)
-	small, large := add("free", 120, 2, 4), add("free", 120, 2, 40) // the small one holds a part of 16 CPUs
+	small, large := add("free", 120, 2, 4), add("free", 120, 2, 40) // the small one holds a partition of 16 CPUs
 	tight := add("tight", 130, 2, 8)                                // another late one of its team holds 8 of 12 CPUs
 	core.view.jobs[add("tight", 130, 2, 8)].held = 4
 	passed, waiting := add("free", 249, 1, 1), add("free", 80, 1, 1)
@@ -184,10 +184,10 @@
 	c.start("n-0")
 	core := c.nodes["n-0"].core
 	j := &job{id: "j-1", need: amount{cpus: 2}, rec: bookkeeping.OpenJob{Spec: bookkeeping.Spec{CPUs: 2}}}
-	d := newDraft("p", nil, &bookkeeping.Page{})
+	d := newShardUpdate("p", nil, &bookkeeping.Shard{})
 	var cands []*candidate
 	for i := 0; i < 4*fullSearch; i++ {
-		m := &machine{id: taskRef{"i", i}.String(), images: map[string]bool{}, rec: &bookkeeping.PageMachine{Type: "m8", Zone: "a"}}
+		m := &machine{id: taskRef{"i", i}.String(), images: map[string]bool{}, rec: &bookkeeping.ShardMachine{Type: "m8", Zone: "a"}}
 		cands = append(cands, &candidate{m: m, rec: m.rec, d: d, free: amount{cpus: 1}})
 	}
 	zones := newZoneRule(core.view, j)
@@ -202,12 +202,12 @@
 	for _, cd := range cands {
 		cd.free = amount{cpus: 8}
 	}
-	seen := map[string]bool{}
+	noteVisit := map[string]bool{}
 	for i := 0; i < 20; i++ {
-		seen[core.choose(j, cands, zones, nil, nil, true, false, false).m.id] = true
+		noteVisit[core.choose(j, cands, zones, nil, nil, true, false, false).m.id] = true
 	}
-	if len(seen) < 5 {
-		t.Errorf("20 choices among equals fell on %d machines: no sample", len(seen))
+	if len(noteVisit) < 5 {
+		t.Errorf("20 choices among equals fell on %d machines: no sample", len(noteVisit))
 	}
 }
 
@@ -229,7 +229,7 @@
 		{"both", true, 20 * sec}, {"both", false, 5 * sec}, {"no spot", false, 20 * sec},
 		{"no gain", false, 20 * sec}, {"no gain", true, 20 * sec}, {"unknown", false, 20 * sec},
 	} {
-		if got := core.keepFor(&bookkeeping.PageMachine{Type: tc.typ, Spot: tc.spot}); got != tc.want {
+		if got := core.keepFor(&bookkeeping.ShardMachine{Type: tc.typ, Spot: tc.spot}); got != tc.want {
 			t.Errorf("%s, spot %v: %v s", tc.typ, tc.spot, got.Seconds())
 		}
 	}
--- a/internal/coordination/reach.go
+++ b/internal/coordination/reach.go
@@ -25,7 +25,7 @@
 	stillFor     = 3 * micros.Second / 2 // a tick so late means that the process stood still
 	stillTrust   = micros.Second / 2     // after that it waits so long for word from the store
 	probeEvery   = 2 * micros.Second
-	askedFirst   = 3                 // silent machines that are asked before we take ourselves for cut off
+	probedFirst  = 3                 // silent machines that are asked before we take ourselves for cut off
 	trustReached = 3 * micros.Second // one that answers proves the contrary for so long
 )
 
@@ -59,7 +59,7 @@
 
 // noteReach judges from the silence of our machines whether it is we who are cut off
 // from them. Without a fresh mirror, or just after standing still, silence says nothing.
-func (c *Core) noteReach(all hearing, now micros.T) {
+func (c *Core) noteReach(all heardCount, now micros.T) {
 	c.heardMost = all.machines > 0 && 2*all.silent < all.machines
 	switch {
 	case all.cut() && c.lostAt == 0:
@@ -70,7 +70,7 @@
 	if c.lostAt == 0 {
 		return
 	}
-	c.handOverPages(now)
+	c.handOverShards(now)
 	c.probe(now)
 }
 
@@ -78,7 +78,7 @@
 // workers go round after a crash of several controllers, each for seconds at one that
 // hangs: those that had just claimed them again gave them away once more.
 func (c *Core) suspect(now micros.T) {
-	if c.asking > 0 || now-c.reachedAt < trustReached {
+	if c.probing > 0 || now-c.reachedAt < trustReached {
 		return
 	}
 	var ms []*machine
@@ -87,22 +87,22 @@
 			ms = append(ms, m)
 		}
 	}
-	n := min(len(ms), askedFirst)
-	c.asking = n
+	n := min(len(ms), probedFirst)
+	c.probing = n
 	answered := false
 	for i := 0; i < n; i++ {
 		k := i + c.env.Rand().IntN(len(ms)-i)
 		ms[i], ms[k] = ms[k], ms[i]
 		m := ms[i]
 		c.env.Command(m.rec.Endpoint, nil, showWithin, func(r protocol.DoResult) {
-			c.asking--
+			c.probing--
 			if r.Status == 200 && r.Report.Machine == m.id {
 				answered, c.reachedAt = true, c.now()
 			}
-			if c.asking == 0 && !answered && c.lostAt == 0 {
+			if c.probing == 0 && !answered && c.lostAt == 0 {
 				c.lostAt = c.now()
 				c.log.Info("own workers out of reach", "machines", len(ms))
-				c.handOverPages(c.now())
+				c.handOverShards(c.now())
 			}
 		})
 	}
@@ -162,11 +162,11 @@
 	return out
 }
 
-// handOverPages gives our pages to controllers that say they hear their workers. Ours
+// handOverPages gives our shards to controllers that say they hear their workers. Ours
 // turn to them when we don't answer; their claims one by one, each against our own
 // writes, took longer than the leases of most.
-func (c *Core) handOverPages(now micros.T) {
-	if c.partBusy || c.storeDown || !c.leaseHeld(now) || now-c.watchOKAt > watchBlock+micros.Second {
+func (c *Core) handOverShards(now micros.T) {
+	if c.partitionBusy || c.storeDown || !c.leaseHeld(now) || now-c.watchOKAt > watchBlock+micros.Second {
 		return
 	}
 	var to, others []string
@@ -189,34 +189,34 @@
 	if len(to) == 0 {
 		return // nobody hears any
 	}
-	heir := ""
-	var ps []*page
-	for _, name := range sortedKeys(c.view.pages) {
-		p := c.view.pages[name]
-		if s := c.pageNotes(name); !c.owns(p) || s.busyAt != 0 || len(s.floating) > 0 || c.view.watched < p.version {
+	successor := ""
+	var ps []*shard
+	for _, name := range sortedKeys(c.view.shards) {
+		p := c.view.shards[name]
+		if s := c.shardNotes(name); !c.owns(p) || s.busyAt != 0 || len(s.inDoubtUpdates) > 0 || c.view.watched < p.version {
 			continue
 		}
 		h := home(name, to)
-		if heir == "" {
-			heir = h
+		if successor == "" {
+			successor = h
 		}
-		if h == heir {
+		if h == successor {
 			ps = append(ps, p)
 		}
 	}
 	if len(ps) == 0 {
 		return
 	}
-	member := c.view.members[heir]
-	t, taken := c.passPages(ps, heir, member.rec.Incarnation)
-	t.If = append(t.If, protocol.Cond{Key: bookkeeping.Key(bookkeeping.KindMember, heir), Version: member.version})
-	c.partBusy = true
+	member := c.view.members[successor]
+	t, taken := c.passShards(ps, successor, member.rec.Incarnation)
+	t.If = append(t.If, protocol.Cond{Key: bookkeeping.Key(bookkeeping.KindMember, successor), Version: member.version})
+	c.partitionBusy = true
 	c.commit(bookkeeping.RankClaim, t, func(r protocol.StoreResult) {
-		c.partBusy = false
+		c.partitionBusy = false
 		c.dirty = true
 		if r.Outcome == protocol.OK {
-			c.log.Info("pages handed over", "to", heir, "pages", taken)
-			c.handOverPages(c.now())
+			c.log.Info("shards handed over", "to", successor, "shards", taken)
+			c.handOverShards(c.now())
 		}
 	})
 }
--- a/internal/coordination/reach_test.go
+++ b/internal/coordination/reach_test.go
@@ -183,7 +183,7 @@
 			c.sim.Run(5 * sec)
 			node, most := "", 0.0
 			for _, n := range c.names {
-				if a := c.nodes[n].core.partShare(n, "tight").cpus; a > most && c.owned(n) >= 3 {
+				if a := c.nodes[n].core.partitionShare(n, "tight").cpus; a > most && c.owned(n) >= 3 {
 					node, most = n, a
 				}
 			}
@@ -201,7 +201,7 @@
 				other = c.names[1]
 			}
 			core := c.nodes[other].core
-			if a := core.partShare(node, "tight").cpus; a > 0 {
+			if a := core.partitionShare(node, "tight").cpus; a > 0 {
 				t.Errorf("it still has %v CPUs", a)
 			}
 			c.finished(first, 60*sec)
@@ -334,25 +334,25 @@
 	}
 }
 
-// TestClaimSize: what a commit takes of pages is bounded by bytes too. A controller that
-// had inherited all pages and came back could never claim them: together they were
+// TestClaimSize: what a commit takes of shards is bounded by bytes too. A controller that
+// had inherited all shards and came back could never claim them: together they were
 // more than a commit may hold.
 func TestClaimSize(t *testing.T) {
 	c := newCluster(t, 1400)
 	c.facts = func(cfg *config.Config) { cfg.Facts.State.TxnOps, cfg.Facts.State.ValueKB = 20, 16 }
 	c.steady()
 	core := c.nodes["n-0"].core
-	var ps []*page
+	var ps []*shard
 	for i := 0; i < 12; i++ {
-		rec := &bookkeeping.Page{Owner: "n-9", Claim: 1, Machines: map[string]*bookkeeping.PageMachine{}, Jobs: map[string]*bookkeeping.PageJob{}}
+		rec := &bookkeeping.Shard{Owner: "n-9", Claim: 1, Machines: map[string]*bookkeeping.ShardMachine{}, Jobs: map[string]*bookkeeping.ShardJob{}}
 		for k := 0; k < 300; k++ {
-			rec.Add(fmt.Sprintf("i-%02d%04d", i, k), bookkeeping.PageMachine{Type: "m8", Zone: "a", Endpoint: fmt.Sprintf("10.0.%d.%d:9000", i, k), State: bookkeeping.MachineOpen})
+			rec.Add(fmt.Sprintf("i-%02d%04d", i, k), bookkeeping.ShardMachine{Type: "m8", Zone: "a", Endpoint: fmt.Sprintf("10.0.%d.%d:9000", i, k), State: bookkeeping.MachineOpen})
 		}
-		ps = append(ps, &page{name: fmt.Sprint("p", i), rec: rec, version: 1})
+		ps = append(ps, &shard{name: fmt.Sprint("p", i), rec: rec, version: 1})
 	}
 	n := 0
 	for len(ps) > 0 {
-		txn, taken := core.passPages(ps, "n-0", 1)
+		txn, taken := core.passShards(ps, "n-0", 1)
 		size := 0
 		for _, op := range txn.Then {
 			size += len(op.Value)
@@ -368,28 +368,28 @@
 	}
 }
 
-// TestClaimsWhileChangesAreShort: a controller that is back has its pages again soon,
+// TestClaimsWhileChangesAreShort: a controller that is back has its shards again soon,
 // though the others use up all changes that the store takes: commits of many changes
 // were refused for seconds, as each of a few took what was left before.
 func TestClaimsWhileChangesAreShort(t *testing.T) {
-	c := guested(t, 1500, func(cfg *config.Config) { cfg.Facts.State.ValueKB = 0.5 })
+	c := swarmed(t, 1500, func(cfg *config.Config) { cfg.Facts.State.ValueKB = 0.5 })
 	c.submit(0, jobOf{"crew": "home", "shape": "daemon", "rank": "high", "pips": 50, "cores": 3.0})
 	c.sim.Run(20 * sec)
 	node, most := "", 0
-	count := func(n string) (pages, mine int) {
-		for _, p := range c.nodes["n-2"].core.view.pages {
+	count := func(n string) (shards, mine int) {
+		for _, p := range c.nodes["n-2"].core.view.shards {
 			if p.rec.Owner == n {
-				pages++
+				shards++
 				if core := c.nodes[n].core; core != nil && p.rec.Incarnation == core.inc {
 					mine++
 				}
 			}
 		}
-		return pages, mine
+		return shards, mine
 	}
 	for _, n := range c.names[:2] {
-		if pages, _ := count(n); pages > most {
-			node, most = n, pages
+		if shards, _ := count(n); shards > most {
+			node, most = n, shards
 		}
 	}
 	if most < 3 {
@@ -405,9 +405,9 @@
 	c.kill(node)
 	c.sim.Run(300 * micros.Millisecond)
 	c.start(node)
-	if !c.sim.RunUntil(3*sec, func() bool { pages, mine := count(node); return mine == pages }) {
-		pages, mine := count(node)
-		t.Errorf("after three seconds %d of %d pages are its own", mine, pages)
+	if !c.sim.RunUntil(3*sec, func() bool { shards, mine := count(node); return mine == shards }) {
+		shards, mine := count(node)
+		t.Errorf("after three seconds %d of %d pages are its own", mine, shards)
 	}
 	c.rules()
 }
--- a/internal/coordination/checkins.go
+++ b/internal/coordination/reports.go
@@ -9,8 +9,8 @@
 	"pipitgap/internal/protocol"
 )
 
-// sighting is a worker of another part that came to us.
-type sighting struct {
+// sighting is a worker of another partition that came to us.
+type strayVisit struct {
 	first, last micros.T
 	claim       uint64 // under which its owner held it
 }
@@ -57,7 +57,7 @@
 		}
 	}
 	switch {
-	case m != nil && m.w != nil && c.forsaken(m.w, now):
+	case m != nil && m.w != nil && c.sendsElsewhere(m.w, now):
 		answer(errorReply(503, "cut off from all others"))
 	case m != nil && m.w != nil:
 		answer(c.report(m, &rep))
@@ -66,59 +66,59 @@
 		// bring it to life again. Tasks were assigned to such ghosts.
 		answer(errorReply(503, "machine is being given back"))
 	case m != nil && m.rec != nil:
-		c.stray(m, &rep, answer, now)
+		c.orphanedWorker(m, &rep, answer, now)
 	default:
-		c.newcomer(&rep, answer, now)
+		c.unknownWorker(&rep, answer, now)
 	}
 }
 
-// seen notes a worker of another part, and tells when this run of visits began. A
+// seen notes a worker of another partition, and tells when this run of visits began. A
 // new claim begins it anew: an owner that was gone for a moment and has claimed its
 // machines again must have the time to be found by them.
-func (c *Core) seen(id string, claim uint64, now micros.T) micros.T {
-	s := c.sightings[id]
+func (c *Core) noteVisit(id string, claim uint64, now micros.T) micros.T {
+	s := c.strayVisits[id]
 	if s == nil || now-s.last > 20*micros.Second || s.claim != claim {
-		s = &sighting{first: now, claim: claim}
-		c.sightings[id] = s
+		s = &strayVisit{first: now, claim: claim}
+		c.strayVisits[id] = s
 	}
 	s.last = now
 	return s.first
 }
 
-// stray answers a worker whose machine is another part's. A worker stays with a
+// orphaned worker answers a worker whose machine is another partition's. A worker stays with a
 // node that answers; one that comes to us has lost its owner, unless this is a
 // copy of an old report. We take the machine over if its owner can't be the one
 // who will be back for it in a moment, and the worker itself confirms its report.
-func (c *Core) stray(m *machine, rep *protocol.Report, answer func(Reply), now micros.T) {
+func (c *Core) orphanedWorker(m *machine, rep *protocol.Report, answer func(Reply), now micros.T) {
 	owner := m.owner()
 	member, live := c.view.members[owner]
-	first := c.seen(m.id, m.claim(), now)
+	first := c.noteVisit(m.id, m.claim(), now)
 	lease := micros.FromSeconds(c.cfg.Facts.Workers.LeaseS)
 	adopt := false
 	switch {
 	case owner == c.node:
-		c.inherit(now) // an earlier life of ours
+		c.claimOrphaned(now) // an earlier life of ours
 		c.arrive(rep, nil, answer)
 		return
 	case !live:
-		if h := home(m.page.name, c.able()); h != c.node {
+		if h := home(m.shard.name, c.able()); h != c.node {
 			answer(c.redirect(h))
 			return
 		}
-		c.inherit(now)
+		c.claimOrphaned(now)
 		c.arrive(rep, nil, answer)
 		return
-	case member.rec.Incarnation != m.page.rec.Incarnation:
-		answer(c.redirect(owner)) // it has just come back and claims its pages
+	case member.rec.Incarnation != m.shard.rec.Incarnation:
+		answer(c.redirect(owner)) // it has just come back and claims its shards
 		return
 	case c.heard(owner, now):
 		// It lives, or did a moment ago. A worker that had it for long and lost it
 		// needn't be sent there again, its lease may not last for another round. One
 		// that goes round because its owner was gone for a moment must find it: that
 		// the owner has spoken to it since doesn't tell that it reports there.
-		if now-first > lease/3 || rep.Token >= m.claim()<<32 && now-c.claimSeen[m.page.name].at > lease {
+		if now-first > lease/3 || rep.Token >= m.claim()<<32 && now-c.claimSeen[m.shard.name].at > lease {
 			// If it crashed just now, all its machines come, and it is back before they
-			// would all have changed their pages: so its next word is waited for.
+			// would all have changed their shards: so its next word is waited for.
 			claim := m.claim()
 			c.env.After(slowTick+2*fastTick, func() {
 				m := c.view.machines[rep.Machine]
@@ -145,10 +145,10 @@
 	c.takeOver(m, rep, answer)
 }
 
-// takeOver has a machine of another part claimed by us, if its worker itself confirms
+// takeOver has a machine of another partition claimed by us, if its worker itself confirms
 // its report.
 func (c *Core) takeOver(m *machine, rep *protocol.Report, answer func(Reply)) {
-	from, owner := m.page, m.owner()
+	from, owner := m.shard, m.owner()
 	c.verify(rep, true, func(ok bool) {
 		if !ok {
 			answer(c.redirect(owner))
@@ -175,10 +175,10 @@
 	})
 }
 
-// arrive has a machine taken into our pages by the next turn; from is the page of
-// another part that it stands in. Without one, and in a page already, it waits for
+// arrive has a machine taken into our shards by the next pass; from is the shard of
+// another partition that it stands in. Without one, and in a shard already, it waits for
 // the claim that is on its way.
-func (c *Core) arrive(rep *protocol.Report, from *page, answer func(Reply)) {
+func (c *Core) arrive(rep *protocol.Report, from *shard, answer func(Reply)) {
 	a := c.arrivals[rep.Machine]
 	if a == nil {
 		a = &arrival{since: c.now()}
@@ -200,26 +200,26 @@
 }
 
 // designated names the controller that may claim a machine that comes up.
-func (c *Core) designated(a *askView, id string) string {
+func (c *Core) designated(a *rentalView, id string) string {
 	if to := a.rec.Own[id]; to != "" {
 		return to
 	}
 	return home(id, a.rec.Live)
 }
 
-// newcomer answers a worker whose machine no part has claimed yet.
-func (c *Core) newcomer(rep *protocol.Report, answer func(Reply), now micros.T) {
-	name := c.view.askOf[rep.Machine]
-	ask := c.view.asks[name]
-	if ask == nil {
+// unknown worker answers a worker whose machine no part has claimed yet.
+func (c *Core) unknownWorker(rep *protocol.Report, answer func(Reply), now micros.T) {
+	name := c.view.rentalOf[rep.Machine]
+	rental := c.view.rentals[name]
+	if rental == nil {
 		// Its request isn't written yet, or it is one that nobody expects: the
 		// leader finds it in the cloud's list.
 		answer(c.redirect(""))
 		return
 	}
-	to := c.designated(ask, rep.Machine)
+	to := c.designated(rental, rep.Machine)
 	if to == c.node {
-		if c.view.watched < ask.version {
+		if c.view.watched < rental.version {
 			answer(c.redirect(""))
 			return
 		}
@@ -234,7 +234,7 @@
 	}
 	// It has nothing on it yet, so there is no hurry; a request that is rewritten
 	// makes the claims of all its other machines fail.
-	if first := c.seen(rep.Machine, 0, now); now-first < micros.FromSeconds(c.cfg.Facts.Workers.LeaseS)/2 {
+	if first := c.noteVisit(rep.Machine, 0, now); now-first < micros.FromSeconds(c.cfg.Facts.Workers.LeaseS)/2 {
 		if c.isLive(to) && !c.cutOff(to, now) {
 			answer(c.redirect(to))
 		} else {
@@ -245,7 +245,7 @@
 	// It was sent there and has come back: it can't reach it. Say in the request
 	// that it is ours; once that is written, nobody else's claim can follow.
 	answer(c.redirect(""))
-	key := bookkeeping.Key(bookkeeping.KindAsk, name)
+	key := bookkeeping.Key(bookkeeping.KindRental, name)
 	if c.jobBusy[key] || now < c.ownAt {
 		return
 	}
@@ -253,20 +253,20 @@
 	c.jobBusy[key] = true
 	id := rep.Machine
 	c.verify(rep, false, func(ok bool) {
-		ask := c.view.asks[name]
-		if !ok || ask == nil {
+		rental := c.view.rentals[name]
+		if !ok || rental == nil {
 			delete(c.jobBusy, key)
 			return
 		}
-		rec := ask.rec
+		rec := rental.rec
 		rec.Own = map[string]string{id: c.node}
-		for k, v := range ask.rec.Own {
+		for k, v := range rental.rec.Own {
 			if k != id {
 				rec.Own[k] = v
 			}
 		}
 		c.commit(bookkeeping.RankRest, protocol.Txn{
-			If:   []protocol.Cond{{Key: key, Version: ask.version}},
+			If:   []protocol.Cond{{Key: key, Version: rental.version}},
 			Then: []protocol.Op{{Put: key, Value: protocol.MustMarshal(&rec)}},
 		}, func(protocol.StoreResult) { delete(c.jobBusy, key) })
 	})
--- a/internal/coordination/reports_test.go
+++ b/internal/coordination/reports_test.go
@@ -8,7 +8,7 @@
 	"pipitgap/internal/protocol"
 )
 
-// ownMachine puts a page of n-0's with one machine and a running service on it into
+// ownMachine puts a shard of n-0's with one machine and a running service on it into
 // the mirror of a controller that runs alone.
 func ownMachine(t *testing.T, seed uint64) (*cluster, *Core, *machine) {
 	c := newCluster(t, seed)
@@ -16,13 +16,13 @@
 	c.sim.Run(3 * sec)
 	core := c.nodes["n-0"].core
 	core.view.put(bookkeeping.Key(bookkeeping.KindOpen, "j-1"), protocol.MustMarshal(&bookkeeping.OpenJob{
-		Spec: bookkeeping.Spec{Tasks: 1, CPUs: 1, Service: true}, Shares: []bookkeeping.Share{{First: 0, End: 1, Part: "n-0"}}}), 1000)
-	page := &bookkeeping.Page{Owner: "n-0", Incarnation: core.inc, Claim: 3,
-		Machines: map[string]*bookkeeping.PageMachine{}, Jobs: map[string]*bookkeeping.PageJob{}}
-	page.Add("i-1", bookkeeping.PageMachine{Type: "m8", Zone: "a", Endpoint: "10.1.0.1:9000", State: bookkeeping.MachineOpen})
-	page.Assign("j-1", bookkeeping.Held{Task: 0, Machine: "i-1", Attempt: 1})
-	raw, _ := page.Encode()
-	core.view.put(bookkeeping.Key(bookkeeping.KindPage, "p"), raw, 1001)
+		Spec: bookkeeping.Spec{Tasks: 1, CPUs: 1, Service: true}, Shares: []bookkeeping.Share{{First: 0, End: 1, Partition: "n-0"}}}), 1000)
+	shard := &bookkeeping.Shard{Owner: "n-0", Incarnation: core.inc, Claim: 3,
+		Machines: map[string]*bookkeeping.ShardMachine{}, Jobs: map[string]*bookkeeping.ShardJob{}}
+	shard.Add("i-1", bookkeeping.ShardMachine{Type: "m8", Zone: "a", Endpoint: "10.1.0.1:9000", State: bookkeeping.MachineOpen})
+	shard.Assign("j-1", bookkeeping.Held{Task: 0, Machine: "i-1", Attempt: 1})
+	raw, _ := shard.Encode()
+	core.view.put(bookkeeping.Key(bookkeeping.KindShard, "p"), raw, 1001)
 	return c, core, core.view.machines["i-1"]
 }
 
--- a/internal/coordination/seed_test.go
+++ b/internal/coordination/seed_test.go
@@ -13,7 +13,7 @@
 		var course []string
 		c := newCluster(t, 2500)
 		c.called = func(s string) { course = append(course, fmt.Sprintf("%.6f %s", c.sim.Now().Seconds(), s)) }
-		c.guested()
+		c.swarmed()
 		var last []string
 		for s := 0; s < 40; s++ {
 			for i := 0; i < 10; i++ {
--- a/internal/coordination/service_test.go
+++ b/internal/coordination/service_test.go
@@ -567,13 +567,13 @@
 		c.start("n-0")
 		core := c.nodes["n-0"].core
 		core.view.put(bookkeeping.Key(bookkeeping.KindOpen, "j-1"), protocol.MustMarshal(&bookkeeping.OpenJob{
-			Spec: bookkeeping.Spec{Tasks: 1, CPUs: 1}, Shares: []bookkeeping.Share{{First: 0, End: 1, Part: "n-0"}}}), 5)
-		page := &bookkeeping.Page{Owner: "n-0", Incarnation: core.inc, Claim: 3,
-			Machines: map[string]*bookkeeping.PageMachine{}, Jobs: map[string]*bookkeeping.PageJob{}}
-		page.Add("i-1", bookkeeping.PageMachine{Type: "m8", Zone: "a", Endpoint: "10.1.0.1:9000", State: bookkeeping.MachineOpen})
-		page.Assign("j-1", bookkeeping.Held{Task: 0, Machine: "i-1", Attempt: 1})
-		raw, _ := page.Encode()
-		core.view.put(bookkeeping.Key(bookkeeping.KindPage, "p"), raw, 7)
+			Spec: bookkeeping.Spec{Tasks: 1, CPUs: 1}, Shares: []bookkeeping.Share{{First: 0, End: 1, Partition: "n-0"}}}), 5)
+		shard := &bookkeeping.Shard{Owner: "n-0", Incarnation: core.inc, Claim: 3,
+			Machines: map[string]*bookkeeping.ShardMachine{}, Jobs: map[string]*bookkeeping.ShardJob{}}
+		shard.Add("i-1", bookkeeping.ShardMachine{Type: "m8", Zone: "a", Endpoint: "10.1.0.1:9000", State: bookkeeping.MachineOpen})
+		shard.Assign("j-1", bookkeeping.Held{Task: 0, Machine: "i-1", Attempt: 1})
+		raw, _ := shard.Encode()
+		core.view.put(bookkeeping.Key(bookkeeping.KindShard, "p"), raw, 7)
 		if tc.cancelled {
 			core.view.put(bookkeeping.Key(bookkeeping.KindJob, "j-1"), protocol.MustMarshal(&bookkeeping.Answer{Status: bookkeeping.Cancelled}), 8)
 		}
@@ -809,8 +809,8 @@
 		if n := core.queue.Waiting(bookkeeping.RankUser); n > core.mostUserCalls()+1 {
 			t.Fatalf("%d calls wait", n)
 		}
-		if len(core.askers) > mostAskers {
-			t.Fatalf("%d polls wait", len(core.askers))
+		if len(core.waitingReaders) > mostReaders {
+			t.Fatalf("%d polls wait", len(core.waitingReaders))
 		}
 	}
 	c.sim.Run(10 * sec)
--- a/internal/coordination/pages.go
+++ b/internal/coordination/shards.go
@@ -12,55 +12,55 @@
 	"pipitgap/internal/protocol"
 )
 
-// Bounds of pages and turns.
+// Bounds of shards and turns.
 const (
-	turnWait    = 600 * micros.Millisecond // a commit in flight holds the next turn up for so long
+	passWait    = 600 * micros.Millisecond // a commit in flight holds the next pass up for so long
 	arrivalWait = 2500 * micros.Millisecond
-	machineRoom = 60 // bytes that a machine takes in a page, with its part of the jobs' ids
+	machineRoom = 60 // bytes that a machine takes in a shard, with its partition of the jobs' ids
 	cpuRoom     = 7  // and what tasks on each of its CPUs take: 14 for one of 2 CPUs
 	staleAfter  = 5 * micros.Second
-	mostOfPage  = 0.95 // of a value: up to this a page is filled
+	mostOfShard = 0.95 // of a value: up to this a shard is filled
 )
 
-// pageState is what we note about one of our pages beside the mirror.
-type pageState struct {
+// pageState is what we note about one of our shards beside the mirror.
+type shardState struct {
 	busyAt micros.T // a commit of ours is in flight since then; 0: none
 	// What commits in flight or without an answer may yet bring about. Each was
-	// conditional on a version of the page, and only once the mirror shows another
+	// conditional on a version of the shard, and only once the mirror shows another
 	// is it settled whether it came about. Until then nothing later that is said of
-	// the page clears it: a second commit that fails may fail because of the first.
-	floating []*draft
-	staleAt  micros.T // since when it holds entries of jobs that are over
+	// the shard clears it: a second commit that fails may fail because of the first.
+	inDoubtUpdates []*shardUpdate
+	staleAt        micros.T // since when it holds entries of jobs that are over
 }
 
 // arrival is a machine's worker that waits to be claimed by us.
 type arrival struct {
 	rep   protocol.Report
-	from  *page // of another part, if it has lost its owner
+	from  *shard // of another partition, if it has lost its owner
 	since micros.T
 	back  []func(ok bool)
 }
 
-// claimSeen is since when we know of the claim that a page is held under.
+// claimSeen is since when we know of the claim that a shard is held under.
 type claimSeen struct {
 	claim, incarnation uint64
 	at                 micros.T
 }
 
-// draft is a page as it will be written.
-type draft struct {
+// update is a shard as it will be written.
+type shardUpdate struct {
 	name    string
-	old     *page // nil: a new page
-	next    *bookkeeping.Page
+	old     *shard // nil: a new shard
+	next    *bookkeeping.Shard
 	changed bool
 	bound   int          // bytes that it may come to take
 	planned int          // and those that its machines will need once they are full
 	txn     protocol.Txn // what else the commit asks and changes
 	conds   map[string]bool
-	freed   map[string]amount // by machine: released by this turn
+	freed   map[string]amount // by machine: released by this pass
 	given   map[string]amount // by team: the same, and not yet used again
-	taken   map[string]amount // by machine: assigned by this turn
-	use     map[string]amount // by team: assigned by this turn
+	taken   map[string]amount // by machine: assigned by this pass
+	use     map[string]amount // by team: assigned by this pass
 	tasks   map[taskRef]bool
 	jobs    map[string]bool
 	done    map[string]bool  // jobs with tasks completed
@@ -70,7 +70,7 @@
 	cands   []*candidate    // those of its machines that may get tasks
 }
 
-func (d *draft) version() uint64 {
+func (d *shardUpdate) version() uint64 {
 	if d.old == nil {
 		return 0
 	}
@@ -78,7 +78,7 @@
 }
 
 // list names tasks for the log, with the machines they are given to.
-func (d *draft) list(tasks map[taskRef]bool) string {
+func (d *shardUpdate) list(tasks map[taskRef]bool) string {
 	var out []string
 	for ref := range tasks {
 		s := ref.String()
@@ -95,61 +95,61 @@
 	return strings.Join(out, " ")
 }
 
-func (d *draft) cond(key string, version uint64) {
+func (d *shardUpdate) cond(key string, version uint64) {
 	if !d.conds[key] {
 		d.conds[key] = true
 		d.txn.If = append(d.txn.If, protocol.Cond{Key: key, Version: version})
 	}
 }
 
-func newDraft(name string, old *page, next *bookkeeping.Page) *draft {
-	return &draft{name: name, old: old, next: next, conds: map[string]bool{}, freed: map[string]amount{}, given: map[string]amount{},
+func newShardUpdate(name string, old *shard, next *bookkeeping.Shard) *shardUpdate {
+	return &shardUpdate{name: name, old: old, next: next, conds: map[string]bool{}, freed: map[string]amount{}, given: map[string]amount{},
 		taken: map[string]amount{}, use: map[string]amount{}, tasks: map[taskRef]bool{}, jobs: map[string]bool{},
 		done: map[string]bool{}, gone: map[taskRef]bool{}, arrived: map[string]*arrival{}, told: map[string]bool{}}
 }
 
-// owns tells whether a page is ours, in this life of ours.
-func (c *Core) owns(p *page) bool { return p.rec.Owner == c.node && p.rec.Incarnation == c.inc }
+// owns tells whether a shard is ours, in this life of ours.
+func (c *Core) owns(p *shard) bool { return p.rec.Owner == c.node && p.rec.Incarnation == c.inc }
 
-func (c *Core) pageNotes(name string) *pageState {
-	s := c.pages[name]
+func (c *Core) shardNotes(name string) *shardState {
+	s := c.shards[name]
 	if s == nil {
-		s = &pageState{}
-		c.pages[name] = s
+		s = &shardState{}
+		c.shards[name] = s
 	}
 	return s
 }
 
-// settle forgets drafts that were conditional on another version than the page's.
-func (s *pageState) settle(version uint64) {
-	var left []*draft
-	for _, d := range s.floating {
+// settle forgets updates that were conditional on another version than the shard's.
+func (s *shardState) settle(version uint64) {
+	var left []*shardUpdate
+	for _, d := range s.inDoubtUpdates {
 		if d.version() == version {
 			left = append(left, d)
 		}
 	}
-	s.floating = left
+	s.inDoubtUpdates = left
 }
 
-// drop forgets a draft whose commit is known not to have been made.
-func (s *pageState) drop(d *draft) {
-	for i, o := range s.floating {
+// drop forgets a update whose commit is known not to have been made.
+func (s *shardState) drop(d *shardUpdate) {
+	for i, o := range s.inDoubtUpdates {
 		if o == d {
-			s.floating = append(s.floating[:i:i], s.floating[i+1:]...)
+			s.inDoubtUpdates = append(s.inDoubtUpdates[:i:i], s.inDoubtUpdates[i+1:]...)
 			return
 		}
 	}
 }
 
-// pageTouched follows a change of a page: whose machines they are now, and that
+// pageTouched follows a change of a shard: whose machines they are now, and that
 // what was in doubt about the version before is settled.
-func (c *Core) pageTouched(name string) {
-	p := c.view.pages[name]
-	if s := c.pages[name]; s != nil {
-		s.settle(c.view.versionOf(bookkeeping.Key(bookkeeping.KindPage, name)))
+func (c *Core) shardTouched(name string) {
+	p := c.view.shards[name]
+	if s := c.shards[name]; s != nil {
+		s.settle(c.view.versionOf(bookkeeping.Key(bookkeeping.KindShard, name)))
 	}
 	if p == nil {
-		delete(c.pages, name)
+		delete(c.shards, name)
 		delete(c.claimSeen, name)
 		return
 	}
@@ -165,36 +165,36 @@
 	}
 }
 
-// turn is a part's round over its pages: what has ended is taken off, waiting
-// tasks are given to what is free, machines come and go, and each page that
+// turn is a partition's round over its shards: what has ended is taken off, waiting
+// tasks are given to what is free, machines come and go, and each shard that
 // changed is written once. However many tasks start and end, that is what it
-// costs; when there is more to write than the state service takes, turns come
+// costs; when there is more to write than the state service takes, passes come
 // less often and each carries more.
-func (c *Core) turn(now micros.T) {
-	if c.storeDown || !c.leaseHeld(now) || c.partBusy {
+func (c *Core) schedulingPass(now micros.T) {
+	if c.storeDown || !c.leaseHeld(now) || c.partitionBusy {
 		return // assignments depend on the shares being written just now
 	}
-	for name, s := range c.pages {
-		if s.busyAt != 0 && now-s.busyAt < turnWait {
-			return // placing on some pages only would miss what the others have
+	for name, s := range c.shards {
+		if s.busyAt != 0 && now-s.busyAt < passWait {
+			return // placing on some shards only would miss what the others have
 		}
-		if s.busyAt == 0 && len(s.floating) == 0 && c.view.pages[name] == nil && c.fresh[name] == nil {
-			delete(c.pages, name)
+		if s.busyAt == 0 && len(s.inDoubtUpdates) == 0 && c.view.shards[name] == nil && c.fresh[name] == nil {
+			delete(c.shards, name)
 		}
 	}
 	c.dirty = false
-	var ds []*draft
-	for _, name := range sortedKeys(c.view.pages) {
-		if p := c.view.pages[name]; c.owns(p) && c.pageNotes(name).busyAt == 0 {
-			d := c.draft(p, now)
+	var ds []*shardUpdate
+	for _, name := range sortedKeys(c.view.shards) {
+		if p := c.view.shards[name]; c.owns(p) && c.shardNotes(name).busyAt == 0 {
+			d := c.shardUpdate(p, now)
 			d.planned = c.planned(d.next)
 			ds = append(ds, d)
 		}
 	}
 	for _, name := range sortedKeys(c.fresh) {
-		if s := c.pageNotes(name); s.busyAt == 0 {
-			d := newDraft(name, nil, c.fresh[name])
-			d.changed, d.next.Machines, d.next.Jobs = true, map[string]*bookkeeping.PageMachine{}, map[string]*bookkeeping.PageJob{}
+		if s := c.shardNotes(name); s.busyAt == 0 {
+			d := newShardUpdate(name, nil, c.fresh[name])
+			d.changed, d.next.Machines, d.next.Jobs = true, map[string]*bookkeeping.ShardMachine{}, map[string]*bookkeeping.ShardJob{}
 			d.bound = d.next.Bound()
 			ds = append(ds, d)
 		}
@@ -212,15 +212,15 @@
 			}
 		}
 	}
-	c.turnAt = now + max(2*fastTick, micros.FromSeconds(float64(written)/c.pageRate()))
+	c.passAt = now + max(2*fastTick, micros.FromSeconds(float64(written)/c.shardRate()))
 }
 
-// draft prepares the next version of a page: outcomes, machines proven gone,
+// update prepares the next version of a shard: outcomes, machines proven gone,
 // states, and entries of jobs that are over.
-func (c *Core) draft(p *page, now micros.T) *draft {
-	d := newDraft(p.name, p, p.rec.Clone())
-	s := c.pageNotes(p.name)
-	d.changed = len(s.floating) > 0 // writing it anew settles what became of that
+func (c *Core) shardUpdate(p *shard, now micros.T) *shardUpdate {
+	d := newShardUpdate(p.name, p, p.rec.Clone())
+	s := c.shardNotes(p.name)
+	d.changed = len(s.inDoubtUpdates) > 0 // writing it anew settles what became of that
 	release := func(m *machine, ref taskRef, done bool) {
 		d.changed = true
 		d.gone[ref] = true
@@ -235,7 +235,7 @@
 	}
 	for _, id := range sortedKeys(p.rec.Machines) {
 		m := c.view.machines[id]
-		if m == nil || m.page != p {
+		if m == nil || m.shard != p {
 			continue
 		}
 		if r := c.view.removals[c.view.removal[id]]; r != nil && r.rec.Gone {
@@ -282,15 +282,15 @@
 
 func (c *Core) valueBytes() int { return int(c.cfg.Facts.State.ValueKB * 1024) }
 
-// machineBytes is the room that a machine of a type needs in a page.
+// machineBytes is the room that a machine of a type needs in a shard.
 func (c *Core) machineBytes(typ string) int {
 	return machineRoom + cpuRoom*int(c.types[typ].CPUs)
 }
 
-// planned is the room that a page's machines will need once they are full. Going by
-// what they take while they are empty put a third more of them into a page than it
+// planned is the room that a shard's machines will need once they are full. Going by
+// what they take while they are empty put a third more of them into a shard than it
 // had room for the tasks of: they stood half empty beside waiting tasks.
-func (c *Core) planned(p *bookkeeping.Page) int {
+func (c *Core) planned(p *bookkeeping.Shard) int {
 	n := 0
 	for _, m := range p.Machines {
 		n += c.machineBytes(m.Type)
@@ -298,25 +298,25 @@
 	return n
 }
 
-// admit puts machines that have come up, or come over to us, into pages; it
-// opens a new page when no other has the room.
-func (c *Core) admit(ds []*draft, now micros.T) []*draft {
-	floating := map[string]bool{}
-	for _, s := range c.pages {
-		for _, d := range s.floating {
+// admit puts machines that have come up, or come over to us, into shards; it
+// opens a new shard when no other has the room.
+func (c *Core) admit(ds []*shardUpdate, now micros.T) []*shardUpdate {
+	inDoubtUpdates := map[string]bool{}
+	for _, s := range c.shards {
+		for _, d := range s.inDoubtUpdates {
 			for id := range d.arrived {
-				floating[id] = true
+				inDoubtUpdates[id] = true
 			}
 		}
 	}
 	// Only as the member that we are now: what an earlier life of ours or a lapsed
-	// membership sent off must not put a machine into a second page.
+	// membership sent off must not put a machine into a second shard.
 	member := c.view.members[c.node]
 	if member.version == 0 || member.rec.Incarnation != c.inc || c.view.watched < member.version {
 		return ds
 	}
-	var mover *draft           // our page that takes machines from other parts
-	moved := map[string]bool{} // the pages that it takes from
+	var mover *shardUpdate     // our shard that takes machines from other partitions
+	moved := map[string]bool{} // the shards that it takes from
 	for _, id := range sortedKeys(c.arrivals) {
 		a := c.arrivals[id]
 		m := c.view.machines[id]
@@ -325,14 +325,14 @@
 			c.arrived(id, known && m.w != nil)
 			continue
 		}
-		if floating[id] {
+		if inDoubtUpdates[id] {
 			continue
 		}
-		ask := c.view.asks[c.view.askOf[id]]
+		rental := c.view.rentals[c.view.rentalOf[id]]
 		switch {
-		case known && (a.from == nil || !c.isLive(m.owner()) || a.from.name != m.page.name || c.claiming[m.page.name]):
+		case known && (a.from == nil || !c.isLive(m.owner()) || a.from.name != m.shard.name || c.claiming[m.shard.name]):
 			continue // somebody else has it
-		case !known && (ask == nil || c.designated(ask, id) != c.node || c.view.watched < ask.version):
+		case !known && (rental == nil || c.designated(rental, id) != c.node || c.view.watched < rental.version):
 			continue
 		}
 		need := c.machineBytes(a.rep.Type)
@@ -340,30 +340,30 @@
 		if known {
 			moving = 40 * len(m.tasks)
 		}
-		// One commit a turn takes machines over, from a few pages: each changes our
+		// One commit a pass takes machines over, from a few shards: each changes our
 		// shares of the teams' limits, so of several but one could be made.
-		if known && !moved[m.page.name] && len(moved) >= mostSources(c.cfg.Facts.State.TxnOps) {
+		if known && !moved[m.shard.name] && len(moved) >= mostSources(c.cfg.Facts.State.TxnOps) {
 			continue
 		}
 		d := mover
 		if !known || d == nil {
 			d = nil
 			for _, o := range ds {
-				if o.planned+need <= c.pageLimit() && o.bound+moving+machineRoom <= c.pageLimit() && (d == nil || o.planned < d.planned) {
+				if o.planned+need <= c.shardLimit() && o.bound+moving+machineRoom <= c.shardLimit() && (d == nil || o.planned < d.planned) {
 					d = o
 				}
 			}
 		}
-		if d == nil || d.planned+need > c.pageLimit() || d.bound+moving+machineRoom > c.pageLimit() {
+		if d == nil || d.planned+need > c.shardLimit() || d.bound+moving+machineRoom > c.shardLimit() {
 			if known && mover != nil {
 				continue // the rest the next time
 			}
-			c.pageSeq++
-			name := fmt.Sprintf("%s.%x.%d", c.node, c.inc, c.pageSeq)
-			next := &bookkeeping.Page{Owner: c.node, Incarnation: c.inc, Claim: 1,
-				Machines: map[string]*bookkeeping.PageMachine{}, Jobs: map[string]*bookkeeping.PageJob{}}
+			c.shardSeq++
+			name := fmt.Sprintf("%s.%x.%d", c.node, c.inc, c.shardSeq)
+			next := &bookkeeping.Shard{Owner: c.node, Incarnation: c.inc, Claim: 1,
+				Machines: map[string]*bookkeeping.ShardMachine{}, Jobs: map[string]*bookkeeping.ShardJob{}}
 			c.fresh[name] = next
-			d = newDraft(name, nil, next)
+			d = newShardUpdate(name, nil, next)
 			d.bound = d.next.Bound()
 			ds = append(ds, d)
 		}
@@ -376,32 +376,32 @@
 		d.arrived[id] = a
 		d.cond(bookkeeping.Key(bookkeeping.KindMember, c.node), member.version)
 		if known {
-			mover, moved[m.page.name] = d, true
+			mover, moved[m.shard.name] = d, true
 			c.moveOver(d, m, &a.rep)
 			continue
 		}
-		d.next.Add(id, bookkeeping.PageMachine{Type: a.rep.Type, Zone: a.rep.Zone, Spot: a.rep.Spot,
+		d.next.Add(id, bookkeeping.ShardMachine{Type: a.rep.Type, Zone: a.rep.Zone, Spot: a.rep.Spot,
 			Endpoint: a.rep.Endpoint, State: bookkeeping.MachineOpen, Claim: a.rep.Token>>32 + 1})
-		d.cond(bookkeeping.Key(bookkeeping.KindAsk, c.view.askOf[id]), ask.version)
+		d.cond(bookkeeping.Key(bookkeeping.KindRental, c.view.rentalOf[id]), rental.version)
 	}
 	return ds
 }
 
-// mostSources is how many pages of other parts a commit may take machines from: beside
-// our page, each of theirs and its part's shares change, and ours.
+// mostSources is how many shards of other partitions a commit may take machines from: beside
+// our shard, each of theirs and its partition's shares change, and ours.
 func mostSources(txnOps int) int { return max(1, min(4, (txnOps-2)/2)) }
 
-// moveOver takes a machine with all that is on it out of another part's page and
-// puts it into a draft, in one commit that both pages must agree to.
-func (c *Core) moveOver(d *draft, m *machine, rep *protocol.Report) {
-	from := m.page
-	key := bookkeeping.Key(bookkeeping.KindPage, from.name)
+// moveOver takes a machine with all that is on it out of another partition's shard and
+// puts it into a update, in one commit that both shards must agree to.
+func (c *Core) moveOver(d *shardUpdate, m *machine, rep *protocol.Report) {
+	from := m.shard
+	key := bookkeeping.Key(bookkeeping.KindShard, from.name)
 	at := -1
 	left := from.rec
 	for i, op := range d.txn.Then {
 		if op.Put == key {
 			at = i
-			left, _ = bookkeeping.DecodePage(op.Value, nil)
+			left, _ = bookkeeping.DecodeShard(op.Value, nil)
 		}
 	}
 	left = left.Clone()
@@ -438,11 +438,11 @@
 	}
 }
 
-// write commits a draft.
-func (c *Core) write(d *draft, now micros.T) {
-	s := c.pageNotes(d.name)
-	key := bookkeeping.Key(bookkeeping.KindPage, d.name)
-	if d.old == nil && len(d.next.Machines) == 0 && len(s.floating) == 0 {
+// write commits a update.
+func (c *Core) write(d *shardUpdate, now micros.T) {
+	s := c.shardNotes(d.name)
+	key := bookkeeping.Key(bookkeeping.KindShard, d.name)
+	if d.old == nil && len(d.next.Machines) == 0 && len(s.inDoubtUpdates) == 0 {
 		delete(c.fresh, d.name)
 		return
 	}
@@ -454,12 +454,12 @@
 		raw, size := d.next.Encode()
 		if size > c.valueBytes() {
 			// The bound on what is assigned keeps this from happening.
-			c.log.Error("page too large for the state service", "page", d.name, "bytes", size)
+			c.log.Error("shard too large for the state service", "shard", d.name, "bytes", size)
 		}
 		t.Then = append(t.Then, protocol.Op{Put: key, Value: raw})
 	}
-	s.busyAt, s.floating = max(now, 1), append(s.floating, d)
-	c.commit(bookkeeping.RankPage, t, func(r protocol.StoreResult) {
+	s.busyAt, s.inDoubtUpdates = max(now, 1), append(s.inDoubtUpdates, d)
+	c.commit(bookkeeping.RankShard, t, func(r protocol.StoreResult) {
 		s.busyAt = 0
 		c.dirty = true
 		if r.Outcome != protocol.Unknown && r.Outcome != protocol.OK {
@@ -480,34 +480,34 @@
 				}
 			}
 			if c.log.Enabled(context.Background(), slog.LevelDebug) {
-				c.log.Debug("page written", "page", d.name, "assigned", d.list(d.tasks), "released", d.list(d.gone), "arrived", len(d.arrived), "bound", d.bound)
+				c.log.Debug("shard written", "shard", d.name, "assigned", d.list(d.tasks), "released", d.list(d.gone), "arrived", len(d.arrived), "bound", d.bound)
 			}
 		case protocol.Unknown:
 			s.settle(c.view.versionOf(key))
 		case protocol.Conflict:
-			c.log.Debug("page not written", "page", d.name, "failed", r.Failed)
+			c.log.Debug("shard not written", "shard", d.name, "failed", r.Failed)
 			for _, k := range r.Failed {
-				// The next turn would decide on the same outdated record.
+				// The next pass would decide on the same outdated record.
 				if kind, name, _ := bookkeeping.SplitKey(k); kind == bookkeeping.KindOpen {
 					c.jobNotes(name).until = max(c.jobNotes(name).until, c.now()+c.watchGap)
 				}
 			}
-			c.turnAt = max(c.turnAt, c.now()+c.watchGap/2)
+			c.passAt = max(c.passAt, c.now()+c.watchGap/2)
 		case protocol.Rejected:
-			c.log.Error("state service rejects a page", "page", d.name)
-			c.turnAt = max(c.turnAt, c.now()+micros.Second)
+			c.log.Error("state service rejects a shard", "shard", d.name)
+			c.passAt = max(c.passAt, c.now()+micros.Second)
 		default:
-			c.turnAt = max(c.turnAt, c.now()+300*micros.Millisecond)
+			c.passAt = max(c.passAt, c.now()+300*micros.Millisecond)
 		}
 	})
 }
 
 // floatingTasks lists the tasks that a commit in doubt or in flight may have given
 // to a machine: until that is settled no other may.
-func (c *Core) floatingTasks() map[taskRef]bool {
+func (c *Core) tasksInDoubt() map[taskRef]bool {
 	out := map[taskRef]bool{}
-	for _, s := range c.pages {
-		for _, d := range s.floating {
+	for _, s := range c.shards {
+		for _, d := range s.inDoubtUpdates {
 			for ref := range d.tasks {
 				out[ref] = true
 			}
--- a/internal/coordination/shares.go
+++ b/internal/coordination/shares.go
@@ -18,59 +18,59 @@
 	takerGrace = 1 * micros.Second // and one that has just taken tasks over: they went round without a start
 )
 
-// split divides a new job among the parts: whole to the one with most room, or
+// split divides a new job among the partitions: whole to the one with most room, or
 // what the parts have room for, and the rest evenly. A job too large for any part
 // is so spread over all of them, and what binds stays in its own record.
 func (c *Core) split(spec *bookkeeping.Spec) []bookkeeping.Share {
 	n := spec.Tasks
 	live := c.able()
 	if n == 1 || spec.OneZone || spec.Spread || len(live) == 0 {
-		return []bookkeeping.Share{{First: 0, End: n, Part: c.roomiest(spec)}}
+		return []bookkeeping.Share{{First: 0, End: n, Partition: c.roomiest(spec)}}
 	}
-	rooms := c.partRooms()
+	capacities := c.freeCapacity()
 	backlog := c.backlog()
-	type part struct {
+	type partition struct {
 		name       string
 		room, size int
 	}
-	var parts []part
+	var partitions []partition
 	for _, p := range live {
-		r := rooms.room(spec, p) - int(math.Ceil(backlog[p]/max(spec.CPUs, 0.01)))
-		parts = append(parts, part{name: p, room: r})
+		r := capacities.room(spec, p) - int(math.Ceil(backlog[p]/max(spec.CPUs, 0.01)))
+		partitions = append(partitions, partition{name: p, room: r})
 	}
 	// The least burdened first where none has room.
-	sort.SliceStable(parts, func(a, b int) bool { return parts[a].room > parts[b].room })
-	for i := range parts {
-		parts[i].room = max(0, parts[i].room)
+	sort.SliceStable(partitions, func(a, b int) bool { return partitions[a].room > partitions[b].room })
+	for i := range partitions {
+		partitions[i].room = max(0, partitions[i].room)
 	}
-	if n <= parts[0].room || spec.Service {
-		return []bookkeeping.Share{{First: 0, End: n, Part: c.roomiest(spec)}}
+	if n <= partitions[0].room || spec.Service {
+		return []bookkeeping.Share{{First: 0, End: n, Partition: c.roomiest(spec)}}
 	}
 	left := n
-	for i := range parts {
-		parts[i].size = min(left, parts[i].room)
-		left -= parts[i].size
+	for i := range partitions {
+		partitions[i].size = min(left, partitions[i].room)
+		left -= partitions[i].size
 	}
 	// What has no room anywhere yet goes to no more parts than is worth it: each
 	// part that has some of a job holds a record of it.
-	among := min(len(parts), max(1, left/leastShare))
-	for i := range parts[:among] {
+	among := min(len(partitions), max(1, left/leastShare))
+	for i := range partitions[:among] {
 		k := (left + among - i - 1) / (among - i)
-		parts[i].size += k
+		partitions[i].size += k
 		left -= k
 	}
 	var out []bookkeeping.Share
 	at := 0
-	for _, p := range parts {
+	for _, p := range partitions {
 		if p.size > 0 {
-			out = append(out, bookkeeping.Share{First: at, End: at + p.size, Part: p.name})
+			out = append(out, bookkeeping.Share{First: at, End: at + p.size, Partition: p.name})
 			at += p.size
 		}
 	}
 	return out
 }
 
-// backlog is the CPUs that each part's waiting tasks will take.
+// backlog is the CPUs that each partition's waiting tasks will take.
 func (c *Core) backlog() map[string]float64 {
 	out := map[string]float64{}
 	for _, j := range c.view.jobs {
@@ -79,12 +79,12 @@
 		}
 		for _, s := range j.rec.Shares {
 			if len(j.rec.Shares) == 1 {
-				out[s.Part] += float64(j.waiting()) * j.need.cpus
+				out[s.Partition] += float64(j.waiting()) * j.need.cpus
 				break
 			}
 			for i := s.First; i < s.End; i++ {
 				if j.state[i] == 0 {
-					out[s.Part] += j.need.cpus
+					out[s.Partition] += j.need.cpus
 				}
 			}
 		}
@@ -93,13 +93,13 @@
 }
 
 // reshare changes which parts place a job's tasks. Whatever a range's owner assigned
-// before stands in the pages by then, whatever it would assign after fails on the
+// before stands in the shards by then, whatever it would assign after fails on the
 // record's version; so the new owner may begin once its mirror has come that far.
 func (c *Core) reshare(j *job, shares []bookkeeping.Share) bool {
 	// Both this and an assignment change or ask for the job's record: with one of the
-	// same turn on its way, one of the two would fail, and two parts could go on
+	// same turn on its way, one of the two would fail, and two partitions could go on
 	// handing a job to and fro without ever starting it.
-	if c.jobBusy[j.id] || c.turnJobs[j.id] || len(shares) > mostShares {
+	if c.jobBusy[j.id] || c.passJobs[j.id] || len(shares) > mostShares {
 		return false
 	}
 	rec := j.rec
@@ -110,7 +110,7 @@
 	}
 	c.jobBusy[j.id] = true
 	key := bookkeeping.Key(bookkeeping.KindOpen, j.id)
-	c.commit(bookkeeping.RankPage, protocol.Txn{
+	c.commit(bookkeeping.RankShard, protocol.Txn{
 		If:   []protocol.Cond{{Key: key, Version: j.version}},
 		Then: []protocol.Op{{Put: key, Value: value}},
 	}, func(r protocol.StoreResult) {
@@ -124,15 +124,15 @@
 }
 
 // spaced tells when something that costs a change may be done again, if all
-// controllers together may spend that part of the store's changes on it: what is
-// spent here the pages lack.
-func (c *Core) spaced(part float64) micros.T {
-	return c.now() + micros.FromSeconds(float64(c.liveShare)/(part*c.cfg.Facts.State.WriteRPS))
+// controllers together may spend that partition of the store's changes on it: what is
+// spent here the shards lack.
+func (c *Core) spaced(partition float64) micros.T {
+	return c.now() + micros.FromSeconds(float64(c.liveShare)/(partition*c.cfg.Facts.State.WriteRPS))
 }
 
 // adoptOrphans takes over the waiting tasks of parts that have gone, or don't reach
 // their machines. Each job has
-// one heir for that, whether it has room for them or not: only their owner makes
+// one successor for that, whether it has room for them or not: only their owner makes
 // room for services by stopping others' work, or rents for nobody else to place.
 func (c *Core) adoptOrphans(jobs []*job, now micros.T) {
 	live := c.able()
@@ -145,7 +145,7 @@
 		}
 		shares := j.rec.Shares
 		for _, s := range j.rec.Shares {
-			if !c.isLive(s.Part) && now-c.gone(s.Part, now) > micros.Second || c.cutOff(s.Part, now) {
+			if !c.isLive(s.Partition) && now-c.gone(s.Partition, now) > micros.Second || c.cutOff(s.Partition, now) {
 				shares = bookkeeping.Reshare(shares, s.First, s.End, c.node)
 			}
 		}
@@ -175,7 +175,7 @@
 	return true
 }
 
-// take looks for waiting tasks of other parts that ours has room for: of parts
+// take looks for waiting tasks of other partitions that ours has room for: of parts
 // that have gone, have no room for them, or haven't used what they seem to have.
 // That hands tasks on in one write, at the time when there is room, and lets each
 // part's room go to the most urgent tasks of all.
@@ -189,14 +189,14 @@
 	if free < slack || now < c.takeAt {
 		return
 	}
-	rooms := c.partRooms()
+	capacities := c.freeCapacity()
 	wall := c.env.Wall()
 	for _, j := range jobs {
 		if now < c.takeAt {
 			return
 		}
 		if j.need.cpus <= free+slack {
-			c.takeJob(j, cands, left, rooms, wall)
+			c.takeJob(j, cands, left, capacities, wall)
 		}
 	}
 }
@@ -212,11 +212,11 @@
 	return room
 }
 
-// takeJob takes over as many of a job's tasks that wait at other parts as we have room
+// takeJob takes over as many of a job's tasks that wait at other partitions as we have room
 // for, and tells how many.
-func (c *Core) takeJob(j *job, cands []*candidate, left map[string]amount, rooms *partRooms, wall int64) int {
+func (c *Core) takeJob(j *job, cands []*candidate, left map[string]amount, capacities *freeCapacity, wall int64) int {
 	spec := &j.rec.Spec
-	if len(j.rec.Shares) == 1 && j.rec.Shares[0].Part == c.node ||
+	if len(j.rec.Shares) == 1 && j.rec.Shares[0].Partition == c.node ||
 		c.jobBusy[j.id] || c.now() < c.jobNotes(j.id).until || c.view.watched < j.version || c.mistakes(j) {
 		return 0
 	}
@@ -241,7 +241,7 @@
 	whole := spec.OneZone || spec.Spread
 	for k := len(j.rec.Shares) - 1; k >= 0; k-- {
 		s := j.rec.Shares[k]
-		if s.Part == c.node || c.isLive(s.Part) && rooms.room(spec, s.Part) > 0 &&
+		if s.Partition == c.node || c.isLive(s.Partition) && capacities.room(spec, s.Partition) > 0 &&
 			(wall-j.rec.At < int64(ownerGrace) || c.now()-c.jobNotes(j.id).sharedAt < takerGrace) {
 			continue
 		}
@@ -252,7 +252,7 @@
 				n++
 			}
 		}
-		if n == 0 || whole && n > room && c.isLive(s.Part) {
+		if n == 0 || whole && n > room && c.isLive(s.Partition) {
 			continue
 		}
 		if !c.reshare(j, bookkeeping.Reshare(j.rec.Shares, first, s.End, c.node)) {
@@ -278,10 +278,10 @@
 	}
 }
 
-// handOver gives our waiting tasks of a job to a part that can make room.
+// handOver gives our waiting tasks of a job to a partition that can make room.
 func (c *Core) handOver(j *job, to string) bool {
 	for _, s := range j.rec.Shares {
-		if s.Part != c.node {
+		if s.Partition != c.node {
 			continue
 		}
 		if !c.reshare(j, bookkeeping.Reshare(j.rec.Shares, s.First, s.End, to)) {
--- a/internal/coordination/shares_test.go
+++ b/internal/coordination/shares_test.go
@@ -9,14 +9,14 @@
 	"pipitgap/internal/standin"
 )
 
-// TestShareLeft: what a part may still assign within a team's limit.
+// TestShareLeft: what a partition may still assign within a team's limit.
 func TestShareLeft(t *testing.T) {
 	cases := []struct {
-		name        string
-		owner       string
-		incarnation uint64 // 0: ours
-		floating    bool
-		left        float64
+		name           string
+		owner          string
+		incarnation    uint64 // 0: ours
+		inDoubtUpdates bool
+		left           float64
 	}{
 		{"our page", "n-0", 0, false, 6},
 		{"our page, and a commit in doubt", "n-0", 0, true, 4},
@@ -29,25 +29,25 @@
 		c := newCluster(t, 33)
 		c.start("n-0")
 		core := c.nodes["n-0"].core
-		core.view.put(bookkeeping.Key(bookkeeping.KindPart, "n-0"), protocol.MustMarshal(&bookkeeping.Part{
+		core.view.put(bookkeeping.Key(bookkeeping.KindPartition, "n-0"), protocol.MustMarshal(&bookkeeping.Partition{
 			Shares: map[string]bookkeeping.Amount{"tight": {CPUs: 10}}}), 3)
 		core.view.put(bookkeeping.Key(bookkeeping.KindOpen, "j-1"), protocol.MustMarshal(&bookkeeping.OpenJob{
-			Spec: bookkeeping.Spec{Team: "tight", Tasks: 4, CPUs: 2}, Shares: []bookkeeping.Share{{First: 0, End: 4, Part: "n-0"}}}), 4)
+			Spec: bookkeeping.Spec{Team: "tight", Tasks: 4, CPUs: 2}, Shares: []bookkeeping.Share{{First: 0, End: 4, Partition: "n-0"}}}), 4)
 		inc := tc.incarnation
 		if inc == 0 {
 			inc = core.inc
 		}
-		page := &bookkeeping.Page{Owner: tc.owner, Incarnation: inc, Claim: 1,
-			Machines: map[string]*bookkeeping.PageMachine{}, Jobs: map[string]*bookkeeping.PageJob{}}
-		page.Add("i-1", bookkeeping.PageMachine{Type: "m8", Zone: "a", Endpoint: "10.1.0.1:9000", State: bookkeeping.MachineOpen})
-		page.Assign("j-1", bookkeeping.Held{Task: 0, Machine: "i-1", Attempt: 1})
-		page.Assign("j-1", bookkeeping.Held{Task: 1, Machine: "i-1", Attempt: 1})
-		raw, _ := page.Encode()
-		core.view.put(bookkeeping.Key(bookkeeping.KindPage, "p"), raw, 5)
-		if tc.floating {
-			d := newDraft("p", core.view.pages["p"], page)
+		shard := &bookkeeping.Shard{Owner: tc.owner, Incarnation: inc, Claim: 1,
+			Machines: map[string]*bookkeeping.ShardMachine{}, Jobs: map[string]*bookkeeping.ShardJob{}}
+		shard.Add("i-1", bookkeeping.ShardMachine{Type: "m8", Zone: "a", Endpoint: "10.1.0.1:9000", State: bookkeeping.MachineOpen})
+		shard.Assign("j-1", bookkeeping.Held{Task: 0, Machine: "i-1", Attempt: 1})
+		shard.Assign("j-1", bookkeeping.Held{Task: 1, Machine: "i-1", Attempt: 1})
+		raw, _ := shard.Encode()
+		core.view.put(bookkeeping.Key(bookkeeping.KindShard, "p"), raw, 5)
+		if tc.inDoubtUpdates {
+			d := newShardUpdate("p", core.view.shards["p"], shard)
 			addUse(d.use, "tight", amount{cpus: 2}, 1)
-			core.pageNotes("p").floating = []*draft{d}
+			core.shardNotes("p").inDoubtUpdates = []*shardUpdate{d}
 		}
 		if got := core.shareLeft("tight").cpus; got != tc.left {
 			t.Errorf("%s: %v left, want %v", tc.name, got, tc.left)
@@ -111,7 +111,7 @@
 	hit := 0
 	for _, id := range services {
 		j := c.nodes["n-0"].core.view.jobs[id]
-		if j.rec.Shares[0].Part != "n-1" {
+		if j.rec.Shares[0].Partition != "n-1" {
 			continue
 		}
 		for _, w := range c.fleet.Workers {
@@ -133,10 +133,10 @@
 	c.rules()
 }
 
-// TestHandOverHasItsTurn: a service that its part has no room for is handed on as
+// TestHandOverHasItsTurn: a service that its partition has no room for is handed on as
 // soon as that may be written again, however often the part takes tasks of others:
 // a try in between doesn't cost it its turn.
-func TestHandOverHasItsTurn(t *testing.T) {
+func TestHandOverIsNotStarved(t *testing.T) {
 	c := newCluster(t, 5).steady()
 	core := c.nodes["n-0"].core
 	now := c.sim.Now()
@@ -146,12 +146,12 @@
 		array: {Team: "free", Priority: 1, Tasks: 4, CPUs: 2, Spot: true},
 	} {
 		core.view.jobs[name] = &job{id: name, version: 1, state: make([]uint8, spec.Tasks), need: amount{cpus: spec.CPUs},
-			rec: bookkeeping.OpenJob{Spec: spec, Shares: []bookkeeping.Share{{First: 0, End: spec.Tasks, Part: "n-0"}}}}
+			rec: bookkeeping.OpenJob{Spec: spec, Shares: []bookkeeping.Share{{First: 0, End: spec.Tasks, Partition: "n-0"}}}}
 	}
 	core.accepted[id] = 1
-	other := &page{name: "n-1.1", rec: &bookkeeping.Page{Owner: "n-1"}, use: map[string]amount{}}
-	core.view.machines["i-9"] = &machine{id: "i-9", page: other, used: amount{cpus: 8}, tasks: map[taskRef]uint64{},
-		rec: &bookkeeping.PageMachine{Type: "m8", Zone: "a", State: bookkeeping.MachineOpen}}
+	other := &shard{name: "n-1.1", rec: &bookkeeping.Shard{Owner: "n-1"}, use: map[string]amount{}}
+	core.view.machines["i-9"] = &machine{id: "i-9", shard: other, used: amount{cpus: 8}, tasks: map[taskRef]uint64{},
+		rec: &bookkeeping.ShardMachine{Type: "m8", Zone: "a", State: bookkeeping.MachineOpen}}
 	for i := 0; i < 4; i++ {
 		core.view.machines["i-9"].tasks[taskRef{array, i}] = 1
 	}
@@ -180,15 +180,15 @@
 		cfg.Facts.Objectives = []config.Objective{{Kind: "deadline", Class: "batch", Times: 1}}
 	}
 	c.steady()
-	give := func(id string, parts ...string) {
+	give := func(id string, partitions ...string) {
 		core := c.nodes["n-0"].core
 		var shares []bookkeeping.Share
 		n := core.view.jobs[id].rec.Spec.Tasks
-		for i, p := range parts {
-			shares = append(shares, bookkeeping.Share{First: n * i / len(parts), End: n * (i + 1) / len(parts), Part: p})
+		for i, p := range partitions {
+			shares = append(shares, bookkeeping.Share{First: n * i / len(partitions), End: n * (i + 1) / len(partitions), Partition: p})
 		}
 		if !c.sim.RunUntil(5*sec, func() bool { return core.reshare(core.view.jobs[id], shares) }) {
-			t.Fatalf("%s can't be given to %v", id, parts)
+			t.Fatalf("%s can't be given to %v", id, partitions)
 		}
 		c.sim.Run(sec / 10)
 	}
@@ -222,8 +222,8 @@
 	}
 	service, array := mk("j-900000", true, 4), mk("j-900001", false, 2)
 	cand := func(id string) *candidate {
-		return &candidate{m: &machine{id: id, images: map[string]bool{}}, rec: &bookkeeping.PageMachine{Type: "m8", Zone: "a"},
-			d: newDraft("n-0.1", nil, &bookkeeping.Page{Jobs: map[string]*bookkeeping.PageJob{}}), free: amount{cpus: 2}}
+		return &candidate{m: &machine{id: id, images: map[string]bool{}}, rec: &bookkeeping.ShardMachine{Type: "m8", Zone: "a"},
+			d: newShardUpdate("n-0.1", nil, &bookkeeping.Shard{Jobs: map[string]*bookkeeping.ShardJob{}}), free: amount{cpus: 2}}
 	}
 	cands := []*candidate{cand("i-1"), cand("i-2")}
 	core.preempting[service.id] = &preemption{1, now + sec, map[string]bool{"i-1": true}}
--- a/internal/coordination/store.go
+++ b/internal/coordination/store.go
@@ -12,12 +12,12 @@
 // have little to do, leave theirs, and their memberships end only seconds later.
 func (c *Core) shareBudgets(live int) {
 	live = max(1, min(live, len(c.all)))
-	most := max(1, float64(live)/evenPart)
+	most := max(1, float64(live)/budgetExcess)
 	before := c.boost
 	switch refused := c.stats.throttled - c.refused; {
 	case refused > 0:
 		c.boost = max(1, c.boost*0.6)
-	case c.queue.Waiting(bookkeeping.RankUser)+c.queue.Waiting(bookkeeping.RankPage)+c.queue.Waiting(bookkeeping.RankEnd) > 1:
+	case c.queue.Waiting(bookkeeping.RankUser)+c.queue.Waiting(bookkeeping.RankShard)+c.queue.Waiting(bookkeeping.RankEnd) > 1:
 		c.boost = min(most, c.boost*1.3)
 	default:
 		c.boost = max(1, c.boost*0.9)
@@ -28,33 +28,33 @@
 	}
 	c.liveShare = live
 	st := c.cfg.Facts.State
-	share := min(1, evenPart*c.boost/float64(live))
+	share := min(1, budgetExcess*c.boost/float64(live))
 	c.queue.Reads.Rate, c.queue.Reads.Burst = st.RPS*share, max(2, st.RPS*share/2)
 	c.queue.Writes.Rate, c.queue.Writes.Burst = st.WriteRPS*share, max(float64(st.TxnOps), st.WriteRPS*share/2)
 	// All watches together use at most a quarter of the store's requests.
 	c.watchGap = max(50*micros.Millisecond, micros.FromSeconds(float64(live)/(st.RPS*0.25)))
 }
 
-// manyUsers is how many calls of users may wait before pages make room for them.
+// manyUsers is how many calls of users may wait before shards make room for them.
 const manyUsers = 2
 
-// pageRate is how many pages a second this controller may write: a good half of its
+// pageRate is how many shards a second this controller may write: a good half of its
 // share of the changes, the rest is the users' and the leader's; less while users wait
 // for theirs, here or elsewhere. After a crash of all others every user comes to the
-// one that stayed; those that were back wrote 22 pages a second of 50 changes, and it
+// one that stayed; those that were back wrote 22 shards a second of 50 changes, and it
 // accepted four jobs.
-func (c *Core) pageRate() float64 {
-	part := 0.55
+func (c *Core) shardRate() float64 {
+	partition := 0.55
 	if c.usersWait() {
-		part = 0.1
+		partition = 0.1
 	} else {
 		for _, at := range c.peerUsers {
 			if c.now()-at < 3*slowTick {
-				part = 0.25
+				partition = 0.25
 			}
 		}
 	}
-	return part * c.boost * c.cfg.Facts.State.WriteRPS / float64(c.liveShare)
+	return partition * c.boost * c.cfg.Facts.State.WriteRPS / float64(c.liveShare)
 }
 
 func (c *Core) usersWait() bool { return c.queue.Waiting(bookkeeping.RankUser) > manyUsers }
@@ -152,12 +152,12 @@
 	return true
 }
 
-// forsaken tells whether a worker of ours is to look for another controller: we reach
+// sendsElsewhere tells whether a worker of ours is to look for another controller: we reach
 // neither the store nor any other, and our membership has ended for so long that
 // whoever does has taken our machines over. One that has been round and comes back
 // within its lease has found nobody: it is we who are left, or its zone is cut off with
 // us, and it is answered as before.
-func (c *Core) forsaken(w *worker, now micros.T) bool {
+func (c *Core) sendsElsewhere(w *worker, now micros.T) bool {
 	if !c.isolated(now) || now-c.leaseSent < c.leaseTTL+takenOver {
 		return false
 	}
--- a/internal/coordination/summary.go
+++ b/internal/coordination/summary.go
@@ -32,7 +32,7 @@
 	for i := range c.cfg.Facts.Teams {
 		team := c.cfg.Facts.Teams[i].Name
 		if limit, _ := c.team(team); limit.limited() {
-			shares += fmt.Sprintf(" %s share %.0f left %.0f pool %.0f", team, c.partShare(c.node, team).cpus, c.shareLeft(team).cpus, c.pool(team).cpus)
+			shares += fmt.Sprintf(" %s share %.0f left %.0f pool %.0f", team, c.partitionShare(c.node, team).cpus, c.shareLeft(team).cpus, c.pool(team).cpus)
 		}
 	}
 	c.log.Debug("waiting", "jobs", s, "shares", shares)
@@ -40,10 +40,10 @@
 
 // Summary is one line about the node, for the log.
 func (c *Core) Summary() string {
-	pages, waiting, running, used, all := 0, 0, 0, 0.0, 0.0
-	for _, p := range c.view.pages {
+	shards, waiting, running, used, all := 0, 0, 0, 0.0, 0.0
+	for _, p := range c.view.shards {
 		if c.owns(p) {
-			pages++
+			shards++
 		}
 	}
 	for _, j := range c.view.jobs {
@@ -59,7 +59,7 @@
 		}
 	}
 	s := fmt.Sprintf("jobs %d waiting %d running %d machines %d cpus %.0f/%.0f members %d pages %d accepted %d later %d placed %d done %d conflicts %d throttled %d",
-		len(c.view.jobs), waiting, running, len(c.view.machines), used, all, len(c.view.members), pages,
+		len(c.view.jobs), waiting, running, len(c.view.machines), used, all, len(c.view.members), shards,
 		c.stats.accepted, c.stats.later, c.stats.placed, c.stats.done, c.stats.conflicts, c.stats.throttled)
 	for i := range c.cfg.Facts.Teams {
 		if t := &c.cfg.Facts.Teams[i]; t.CPUsMax > 0 {
--- a/internal/coordination/guests_test.go
+++ b/internal/coordination/swarms_test.go
@@ -12,7 +12,7 @@
 )
 
 // TestGuest: whose submissions go after the others'.
-func TestGuest(t *testing.T) {
+func TestSwarming(t *testing.T) {
 	for _, tc := range []struct {
 		name      string
 		sent      map[string]int
@@ -35,22 +35,22 @@
 			}
 		}
 		if tc.contended {
-			core.queue.Add(bookkeeping.Call{StoreCall: &protocol.StoreCall{}, Rank: bookkeeping.RankPage, Since: core.now() - 2*sec})
+			core.queue.Add(bookkeeping.Call{StoreCall: &protocol.StoreCall{}, Rank: bookkeeping.RankShard, Since: core.now() - 2*sec})
 		}
-		if got := core.guest(&bookkeeping.Spec{Team: "guest", Priority: int(tc.priority)}); got != tc.want {
+		if got := core.swarms(&bookkeeping.Spec{Team: "guest", Priority: int(tc.priority)}); got != tc.want {
 			t.Errorf("%s: %v", tc.name, got)
 		}
 	}
 }
 
-// guested is a cluster with a team at home and a guest, and machines that are up.
-func guested(t *testing.T, seed uint64, facts func(*config.Config)) (c *cluster) {
+// guested is a cluster with a team at home and a swarm, and machines that are up.
+func swarmed(t *testing.T, seed uint64, facts func(*config.Config)) (c *cluster) {
 	c = newCluster(t, seed)
 	c.facts = facts
-	return c.guested()
+	return c.swarmed()
 }
 
-func (c *cluster) guested() *cluster {
+func (c *cluster) swarmed() *cluster {
 	c.t.Helper()
 	c.teams = []config.Team{{Name: "home", CPUs: 100, CPUsMax: 400}, {Name: "guest"}}
 	clear(c.cloud.Capacity)
@@ -66,11 +66,11 @@
 	return c
 }
 
-// TestSwarm: a guest sends tiny jobs several times as fast as the store takes them; of
+// TestSwarm: a swarm sends tiny jobs several times as fast as the store takes them; of
 // the others' submissions none waits for long, their services start once a machine is
-// up, and what the guest is refused it is told at once, with when to come back; half of
+// up, and what the swarm is refused it is told at once, with when to come back; half of
 // its jobs and more are served all the same. Without ranks of their own they had most of
-// all changes; with the answers of its jobs among the pages, machines that were up were
+// all changes; with the answers of its jobs among the shards, machines that were up were
 // not claimed for six seconds.
 func TestSwarm(t *testing.T) {
 	for seed := uint64(2000); seed < 2004; seed++ {
@@ -79,12 +79,12 @@
 }
 
 func swarm(t *testing.T, seed uint64) {
-	c := guested(t, seed, nil)
+	c := swarmed(t, seed, nil)
 	changes := c.store.Changes
 	accepted := map[string]micros.T{}
 	c.accepted = func(id string) { accepted[id] = c.sim.Now() }
 	sentAt := map[string]micros.T{}
-	var guests, services []string
+	var swarming, services []string
 	refused, silent, started := 0, 0, 0
 	unclaimed, longest := map[string]micros.T{}, micros.T(0) // machines that are up
 	var look func()
@@ -101,7 +101,7 @@
 	for s := 0; s < seconds; s++ {
 		for i := 0; i < 30; i++ {
 			id := c.send(2*sec, jobOf{"crew": "guest", "rank": "best_effort", "cores": 0.25, "memory_gb": 0.5, "borrowed": true, "guess_s": 2.0})
-			guests = append(guests, id)
+			swarming = append(swarming, id)
 		}
 		id := c.send(0, jobOf{"crew": "home", "shape": "daemon", "rank": "high", "cores": 1.0})
 		services, sentAt[id] = append(services, id), c.sim.Now()
@@ -126,12 +126,12 @@
 		}
 	}
 	served := 0
-	for _, id := range guests {
+	for _, id := range swarming {
 		if accepted[id] > 0 {
 			served++
 		}
 	}
-	t.Logf("of %d services %d accepted late, %d run; of %d guests %d accepted; %d refused; %d changes; a machine waited %v s for its claim", len(services), late, started, len(guests), served, refused, c.store.Changes-changes, longest.Seconds())
+	t.Logf("of %d services %d accepted late, %d run; of %d guests %d accepted; %d refused; %d changes; a machine waited %v s for its claim", len(services), late, started, len(swarming), served, refused, c.store.Changes-changes, longest.Seconds())
 	if longest > 5*sec {
 		t.Errorf("a machine that was up waited %v s for its claim", longest.Seconds())
 	}
@@ -167,7 +167,7 @@
 }
 
 func hugeArray(t *testing.T, kb float64, least, most int) {
-	c := guested(t, 2100, func(cfg *config.Config) { cfg.Facts.State.ValueKB = kb })
+	c := swarmed(t, 2100, func(cfg *config.Config) { cfg.Facts.State.ValueKB = kb })
 	largest := 0
 	c.copies = func(_ *standin.Worker, _ string, body []byte) { largest = max(largest, len(body)) }
 	sweep := c.submit(4*sec, jobOf{"crew": "guest", "rank": "best_effort", "pips": 25000, "cores": 0.25, "memory_gb": 0.45, "borrowed": true, "guess_s": 4.0})
@@ -233,7 +233,7 @@
 // question is answered at once or told when to come back, jobs that are over cost the
 // store nothing, the others a few watches; submissions and leases have their turn.
 func TestPollStorm(t *testing.T) {
-	c := guested(t, 2200, nil)
+	c := swarmed(t, 2200, nil)
 	var open, over []string
 	for i := 0; i < 10; i++ {
 		over = append(over, c.submit(sec, jobOf{"crew": "home", "cores": 0.5}))
@@ -304,23 +304,23 @@
 	c.rules()
 }
 
-// TestPageBytes: past four fifths of a page's bytes no more tasks of the lowest priority
+// TestPageBytes: past four fifths of a shard's bytes no more tasks of the lowest priority
 // go to its machines, however much room they have, so that others' find some.
-func TestPageBytes(t *testing.T) {
+func TestShardBytes(t *testing.T) {
 	core := newCluster(t, 2300).steady().nodes["n-0"].core
 	for _, tc := range []struct {
-		part    float64 // of what a page is filled to
-		guest   bool
-		service bool
+		partition float64 // of what a shard is filled to
+		swarms    bool
+		service   bool
 	}{{0.5, true, true}, {0.9, false, true}, {1, false, false}} {
-		d := newDraft("n-0.1", nil, &bookkeeping.Page{Jobs: map[string]*bookkeeping.PageJob{}})
-		d.bound = int(tc.part * float64(core.pageLimit()))
-		cands := []*candidate{{m: &machine{id: "i-1", images: map[string]bool{}}, rec: &bookkeeping.PageMachine{Type: "m8", Zone: "a"}, d: d, free: amount{cpus: 8, mem: 64}}}
+		d := newShardUpdate("n-0.1", nil, &bookkeeping.Shard{Jobs: map[string]*bookkeeping.ShardJob{}})
+		d.bound = int(tc.partition * float64(core.shardLimit()))
+		cands := []*candidate{{m: &machine{id: "i-1", images: map[string]bool{}}, rec: &bookkeeping.ShardMachine{Type: "m8", Zone: "a"}, d: d, free: amount{cpus: 8, mem: 64}}}
 		for _, service := range []bool{false, true} {
 			j := &job{id: "j-900000", need: amount{cpus: 0.25}, state: make([]uint8, 1),
 				rec: bookkeeping.OpenJob{Spec: bookkeeping.Spec{Tasks: 1, CPUs: 0.25, Service: service, Priority: int(protocol.BestEffort)}}}
-			if got := core.choose(j, cands, newZoneRule(core.view, j), nil, nil, false, false, false) != nil; got != map[bool]bool{false: tc.guest, true: tc.service}[service] {
-				t.Errorf("page filled to %v, service %v: %v", tc.part, service, got)
+			if got := core.choose(j, cands, newZoneRule(core.view, j), nil, nil, false, false, false) != nil; got != map[bool]bool{false: tc.swarms, true: tc.service}[service] {
+				t.Errorf("page filled to %v, service %v: %v", tc.partition, service, got)
 			}
 		}
 	}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -14,7 +14,7 @@
 // Bounds of what waits for the store on behalf of users; past them the answer
 // is an immediate 429.
 const (
-	mostAskers   = 2048
+	mostReaders  = 2048
 	mostOpenJobs = 5000
 )
 
@@ -30,7 +30,7 @@
 func (c *Core) later(status int, text string) Reply {
 	c.stats.later++
 	if c.log.Enabled(context.Background(), slog.LevelDebug) {
-		c.log.Debug("asked to come back", "status", status, "reason", text, "users", c.queue.Waiting(bookkeeping.RankUser), "pages", c.queue.Waiting(bookkeeping.RankPage), "askers", len(c.askers))
+		c.log.Debug("asked to come back", "status", status, "reason", text, "users", c.queue.Waiting(bookkeeping.RankUser), "shards", c.queue.Waiting(bookkeeping.RankShard), "askers", len(c.waitingReaders))
 	}
 	r := errorReply(status, text)
 	r.RetryAfter = 1
@@ -112,7 +112,7 @@
 }
 
 // standingOf is the answer about a job that the mirror holds.
-func (c *Core) standingOf(j *job) Reply {
+func (c *Core) statusOf(j *job) Reply {
 	if !j.open() {
 		return c.final(j.id, j.over)
 	}
@@ -200,7 +200,7 @@
 		return
 	}
 	c.counted(&spec)
-	if c.guest(&spec) && c.queue.Waiting(bookkeeping.RankGuest) >= c.guestPlaces() {
+	if c.swarms(&spec) && c.queue.Waiting(bookkeeping.RankSwarm) >= c.swarmPlaces() {
 		r := c.later(429, "too many jobs of this team")
 		r.RetryAfter += 1 + int(c.env.Rand().Int64N(3))
 		answer(r)
@@ -305,7 +305,7 @@
 // lookUp answers from a mirror as new as the question. What it doesn't hold is over, or
 // was never accepted: the store itself is asked.
 func (c *Core) lookUp(id string, answer func(Reply)) {
-	if len(c.askers) >= mostAskers {
+	if len(c.waitingReaders) >= mostReaders {
 		answer(c.later(429, "too many requests"))
 		return
 	}
@@ -315,7 +315,7 @@
 			return
 		}
 		if j := c.view.jobs[id]; j != nil {
-			answer(c.standingOf(j))
+			answer(c.statusOf(j))
 			return
 		}
 		if s, ok := c.view.finals.get(id); ok {
--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -85,7 +85,7 @@
 	held    int // tasks with an attempt on some machine
 }
 
-// A task's state counts the pages that hold it and those that have it done. More
+// A task's state counts the shards that hold it and those that have it done. More
 // than one of either would be a mistake, but one that must not start a task twice.
 const (
 	heldUnit = 1
@@ -100,11 +100,11 @@
 // complete tells whether every task is done.
 func (j *job) complete() bool { return j.done == j.rec.Spec.Tasks }
 
-// pendingOf counts the pending tasks that a part is to place.
-func (j *job) pendingOf(part string) int {
+// pendingOf counts the pending tasks that a partition is to place.
+func (j *job) pendingOf(partition string) int {
 	n := 0
 	for _, s := range j.rec.Shares {
-		if s.Part == part {
+		if s.Partition == partition {
 			for i := s.First; i < s.End; i++ {
 				if j.state[i] == 0 {
 					n++
@@ -115,10 +115,10 @@
 	return n
 }
 
-// page is a page in the mirror.
-type page struct {
+// shard is a shard in the mirror.
+type shard struct {
 	name    string
-	rec     *bookkeeping.Page
+	rec     *bookkeeping.Shard
 	version uint64
 	use     map[string]amount // by team, what its attempts take
 }
@@ -126,48 +126,48 @@
 // machine is a claimed machine in the mirror, with what its tasks take.
 type machine struct {
 	id     string
-	page   *page
-	rec    *bookkeeping.PageMachine // nil: only its attempts are known still
+	shard  *shard
+	rec    *bookkeeping.ShardMachine // nil: only its attempts are known still
 	used   amount
 	tasks  map[taskRef]uint64 // attempts that the store holds here
 	images map[string]bool    // images that tasks have brought here, as far as we saw
 	w      *worker            // only while it is ours
 }
 
-func (m *machine) owner() string { return m.page.rec.Owner }
-func (m *machine) claim() uint64 { return m.page.rec.ClaimOf(m.rec) }
+func (m *machine) owner() string { return m.shard.rec.Owner }
+func (m *machine) claim() uint64 { return m.shard.rec.ClaimOf(m.rec) }
 
 // View is the mirror of the store with the sums that decisions need. Changes
 // reach it by the watch, in order, and by the core's own commits, which may be
 // ahead of the watch; versions keep each key from going back.
 type View struct {
-	watched  uint64 // the watch is complete up to here
-	newest   uint64 // the newest revision heard of in any way
-	jobs     map[string]*job
-	pages    map[string]*page
-	machines map[string]*machine
-	teamUse  map[string]amount
-	parts    map[string]*partView
-	asks     map[string]*askView
-	askOf    map[string]string // machine: the request that it came with
-	removals map[string]*removalView
-	removal  map[string]string // machine: the removal that names it
-	types    map[string]typeView
-	members  map[string]memberView
-	lead     bookkeeping.Lead
-	leadVer  uint64
-	deleted  map[string]uint64 // own deletions ahead of the watch
-	finals   *finals
-	touched  func(kind, name string)
-}
-
-type partView struct {
-	rec     bookkeeping.Part
+	watched    uint64 // the watch is complete up to here
+	newest     uint64 // the newest revision heard of in any way
+	jobs       map[string]*job
+	shards     map[string]*shard
+	machines   map[string]*machine
+	teamUse    map[string]amount
+	partitions map[string]*partitionView
+	rentals    map[string]*rentalView
+	rentalOf   map[string]string // machine: the request that it came with
+	removals   map[string]*removalView
+	removal    map[string]string // machine: the removal that names it
+	types      map[string]typeView
+	members    map[string]memberView
+	lead       bookkeeping.Lead
+	leadVer    uint64
+	deleted    map[string]uint64 // own deletions ahead of the watch
+	finals     *finals
+	touched    func(kind, name string)
+}
+
+type partitionView struct {
+	rec     bookkeeping.Partition
 	version uint64
 }
 
-type askView struct {
-	rec     bookkeeping.Ask
+type rentalView struct {
+	rec     bookkeeping.Rental
 	version uint64
 }
 
@@ -188,8 +188,8 @@
 
 func newView(touched func(kind, name string)) *View {
 	return &View{
-		jobs: map[string]*job{}, pages: map[string]*page{}, machines: map[string]*machine{}, teamUse: map[string]amount{},
-		parts: map[string]*partView{}, asks: map[string]*askView{}, askOf: map[string]string{},
+		jobs: map[string]*job{}, shards: map[string]*shard{}, machines: map[string]*machine{}, teamUse: map[string]amount{},
+		partitions: map[string]*partitionView{}, rentals: map[string]*rentalView{}, rentalOf: map[string]string{},
 		removals: map[string]*removalView{}, removal: map[string]string{}, types: map[string]typeView{},
 		members: map[string]memberView{}, deleted: map[string]uint64{}, finals: newFinals(20000), touched: touched,
 	}
@@ -206,16 +206,16 @@
 		if j := v.jobs[name]; j != nil {
 			return j.version
 		}
-	case bookkeeping.KindPage:
-		if p := v.pages[name]; p != nil {
+	case bookkeeping.KindShard:
+		if p := v.shards[name]; p != nil {
 			return p.version
 		}
-	case bookkeeping.KindPart:
-		if p := v.parts[name]; p != nil {
+	case bookkeeping.KindPartition:
+		if p := v.partitions[name]; p != nil {
 			return p.version
 		}
-	case bookkeeping.KindAsk:
-		if a := v.asks[name]; a != nil {
+	case bookkeeping.KindRental:
+		if a := v.rentals[name]; a != nil {
 			return a.version
 		}
 	case bookkeeping.KindRemoval:
@@ -250,7 +250,7 @@
 	type change struct {
 		kind, name string
 		e          protocol.Event
-		next       *page
+		next       *shard
 	}
 	var todo []change
 	for _, e := range events {
@@ -275,29 +275,29 @@
 			delete(v.deleted, key)
 		}
 		ch := change{kind: kind, name: name, e: e}
-		if kind == bookkeeping.KindPage {
-			old := v.pages[name]
+		if kind == bookkeeping.KindShard {
+			old := v.shards[name]
 			if e.Put != "" {
-				var before *bookkeeping.Page
+				var before *bookkeeping.Shard
 				if old != nil {
 					before = old.rec
 				}
-				rec, err := bookkeeping.DecodePage(e.Value, before)
+				rec, err := bookkeeping.DecodeShard(e.Value, before)
 				if err != nil {
 					continue
 				}
-				ch.next = &page{name: name, rec: rec, version: e.Version}
+				ch.next = &shard{name: name, rec: rec, version: e.Version}
 			}
-			v.pageOut(old, ch.next)
+			v.shardOut(old, ch.next)
 		}
 		todo = append(todo, ch)
 	}
 	for _, ch := range todo {
 		switch {
 		case ch.next != nil:
-			v.pageIn(v.pages[ch.name], ch.next)
-		case ch.kind == bookkeeping.KindPage:
-			delete(v.pages, ch.name)
+			v.shardIn(v.shards[ch.name], ch.next)
+		case ch.kind == bookkeeping.KindShard:
+			delete(v.shards, ch.name)
 		case ch.e.Put != "":
 			v.set(ch.kind, ch.name, ch.e)
 		default:
@@ -307,7 +307,7 @@
 	}
 }
 
-// set applies a put of any record but a page.
+// set applies a put of any record but a shard.
 func (v *View) set(kind, name string, e protocol.Event) {
 	switch kind {
 	case bookkeeping.KindJob:
@@ -333,21 +333,21 @@
 			need: needOf(&rec.Spec)}
 		j.over, _ = v.finals.get(name)
 		v.jobs[name] = j
-		for _, p := range v.pages { // it may have been seen before its job
+		for _, p := range v.shards { // it may have been seen before its job
 			v.sum(p, name, 1)
 		}
-	case bookkeeping.KindPart:
-		p := &partView{version: e.Version}
+	case bookkeeping.KindPartition:
+		p := &partitionView{version: e.Version}
 		if protocol.Unmarshal(e.Value, &p.rec) == nil {
-			v.parts[name] = p
+			v.partitions[name] = p
 		}
-	case bookkeeping.KindAsk:
-		a := &askView{version: e.Version}
+	case bookkeeping.KindRental:
+		a := &rentalView{version: e.Version}
 		if protocol.Unmarshal(e.Value, &a.rec) == nil {
 			v.unset(kind, name)
-			v.asks[name] = a
+			v.rentals[name] = a
 			for _, id := range a.rec.Machines {
-				v.askOf[id] = name
+				v.rentalOf[id] = name
 			}
 		}
 	case bookkeeping.KindRemoval:
@@ -377,25 +377,25 @@
 	}
 }
 
-// unset applies a deletion of any record but a page.
+// unset applies a deletion of any record but a shard.
 func (v *View) unset(kind, name string) {
 	switch kind {
 	case bookkeeping.KindOpen:
-		for _, p := range v.pages {
+		for _, p := range v.shards {
 			v.sum(p, name, -1)
 		}
 		delete(v.jobs, name)
-	case bookkeeping.KindPart:
-		delete(v.parts, name)
-	case bookkeeping.KindAsk:
-		if a := v.asks[name]; a != nil {
+	case bookkeeping.KindPartition:
+		delete(v.partitions, name)
+	case bookkeeping.KindRental:
+		if a := v.rentals[name]; a != nil {
 			for _, id := range a.rec.Machines {
-				if v.askOf[id] == name {
-					delete(v.askOf, id)
+				if v.rentalOf[id] == name {
+					delete(v.rentalOf, id)
 				}
 			}
 		}
-		delete(v.asks, name)
+		delete(v.rentals, name)
 	case bookkeeping.KindRemoval:
 		if r := v.removals[name]; r != nil {
 			for _, id := range r.rec.Machines {
@@ -414,8 +414,8 @@
 	}
 }
 
-// pageOut takes out of the sums what a page has and its next version hasn't.
-func (v *View) pageOut(old, next *page) {
+// pageOut takes out of the sums what a shard has and its next version hasn't.
+func (v *View) shardOut(old, next *shard) {
 	if old == nil {
 		return
 	}
@@ -426,24 +426,24 @@
 	}
 	for id := range old.rec.Machines {
 		m := v.machines[id]
-		if (next == nil || next.rec.Machines[id] == nil) && m != nil && m.page == old {
-			m.page, m.rec, m.w = nil, nil, nil
+		if (next == nil || next.rec.Machines[id] == nil) && m != nil && m.shard == old {
+			m.shard, m.rec, m.w = nil, nil, nil
 			v.forget(m)
 		}
 	}
 }
 
-// pageIn puts into the sums what a page's version before hasn't.
-func (v *View) pageIn(old, next *page) {
+// pageIn puts into the sums what a shard's version before hasn't.
+func (v *View) shardIn(old, next *shard) {
 	if old != nil {
 		next.use = old.use
 	} else {
 		next.use = map[string]amount{}
 	}
-	v.pages[next.name] = next
+	v.shards[next.name] = next
 	for id, rec := range next.rec.Machines {
 		m := v.machine(id)
-		m.page, m.rec = next, rec
+		m.shard, m.rec = next, rec
 	}
 	for id, e := range next.rec.Jobs {
 		if old == nil || old.rec.Jobs[id] != e {
@@ -452,8 +452,8 @@
 	}
 }
 
-// sum counts what a page holds of a job in or out.
-func (v *View) sum(p *page, id string, sign int) {
+// sum counts what a shard holds of a job in or out.
+func (v *View) sum(p *shard, id string, sign int) {
 	e, j := p.rec.Jobs[id], v.jobs[id]
 	if e == nil || j == nil {
 		return
@@ -506,10 +506,10 @@
 	})
 }
 
-// elsewhere tells whether another page too holds an attempt on the same machine: a
+// elsewhere tells whether another shard too holds an attempt on the same machine: a
 // list that is read while the machine moves shows it in both.
-func (v *View) elsewhere(not *page, job string, h bookkeeping.Held) bool {
-	for _, p := range v.pages {
+func (v *View) elsewhere(not *shard, job string, h bookkeeping.Held) bool {
+	for _, p := range v.shards {
 		if e := p.rec.Jobs[job]; e != nil && p.name != not.name {
 			for _, o := range e.Held {
 				if o == h {
@@ -530,7 +530,7 @@
 	}
 }
 
-// forget drops a machine that stands in no page and holds nothing.
+// forget drops a machine that stands in no shard and holds nothing.
 func (v *View) forget(m *machine) {
 	if m.rec == nil && len(m.tasks) == 0 {
 		delete(v.machines, m.id)
--- a/internal/coordination/view_test.go
+++ b/internal/coordination/view_test.go
@@ -17,13 +17,13 @@
 func openJob(tasks int) protocol.Raw {
 	return protocol.MustMarshal(&bookkeeping.OpenJob{
 		Spec:   bookkeeping.Spec{Team: "t", Tasks: tasks, CPUs: 2, MemoryGB: 4, Image: "img", Class: "batch"},
-		Shares: []bookkeeping.Share{{First: 0, End: tasks, Part: "n-0"}}})
+		Shares: []bookkeeping.Share{{First: 0, End: tasks, Partition: "n-0"}}})
 }
 
 // pageOf holds tasks of a job on one machine, some of them done.
-func pageOf(machine, job string, held, done int) protocol.Raw {
-	p := &bookkeeping.Page{Owner: "n-0", Claim: 1, Machines: map[string]*bookkeeping.PageMachine{}, Jobs: map[string]*bookkeeping.PageJob{}}
-	p.Add(machine, bookkeeping.PageMachine{Type: "m8", Zone: "a", Endpoint: "10.0.0.1:1", State: bookkeeping.MachineOpen})
+func shardOf(machine, job string, held, done int) protocol.Raw {
+	p := &bookkeeping.Shard{Owner: "n-0", Claim: 1, Machines: map[string]*bookkeeping.ShardMachine{}, Jobs: map[string]*bookkeeping.ShardJob{}}
+	p.Add(machine, bookkeeping.ShardMachine{Type: "m8", Zone: "a", Endpoint: "10.0.0.1:1", State: bookkeeping.MachineOpen})
 	for i := 0; i < held+done; i++ {
 		p.Assign(job, bookkeeping.Held{Task: i, Machine: machine, Attempt: 1})
 	}
@@ -34,38 +34,38 @@
 	return raw
 }
 
-// TestViewOrder: changes in any order, own commits ahead of the watch, pages before
+// TestViewOrder: changes in any order, own commits ahead of the watch, shards before
 // their jobs, machines that move: the sums end up the same, and nothing goes back.
 func TestViewOrder(t *testing.T) {
 	open := bookkeeping.Key(bookkeeping.KindOpen, "j-1")
-	p, q := bookkeeping.Key(bookkeeping.KindPage, "p"), bookkeeping.Key(bookkeeping.KindPage, "q")
-	bare := pageOf("i-9", "j-9", 0, 0)
+	p, q := bookkeeping.Key(bookkeeping.KindShard, "p"), bookkeeping.Key(bookkeeping.KindShard, "q")
+	bare := shardOf("i-9", "j-9", 0, 0)
 	steps := map[string]func(v *View){
 		"job":      func(v *View) { v.putJob("j-1", 6, 5) },
-		"page":     func(v *View) { v.put(p, pageOf("i-1", "j-1", 4, 2), 6) },
-		"old page": func(v *View) { v.put(p, pageOf("i-2", "j-1", 4, 0), 4) },
+		"page":     func(v *View) { v.put(p, shardOf("i-1", "j-1", 4, 2), 6) },
+		"old page": func(v *View) { v.put(p, shardOf("i-2", "j-1", 4, 0), 4) },
 		"drops":    func(v *View) { v.drop(p, 9, true); v.drop(open, 9, true) },
 		"late": func(v *View) {
-			v.applyEvents([]protocol.Event{{Put: p, Value: pageOf("i-1", "j-1", 4, 2), Version: 6}}, 8)
+			v.applyEvents([]protocol.Event{{Put: p, Value: shardOf("i-1", "j-1", 4, 2), Version: 6}}, 8)
 		},
 		"move": func(v *View) {
-			v.applyEvents([]protocol.Event{{Put: q, Value: pageOf("i-1", "j-1", 4, 2), Version: 8}, {Put: p, Value: bare, Version: 8}}, 8)
+			v.applyEvents([]protocol.Event{{Put: q, Value: shardOf("i-1", "j-1", 4, 2), Version: 8}, {Put: p, Value: bare, Version: 8}}, 8)
 		},
 		"move, the other order": func(v *View) {
-			v.applyEvents([]protocol.Event{{Put: p, Value: bare, Version: 8}, {Put: q, Value: pageOf("i-1", "j-1", 4, 2), Version: 8}}, 8)
+			v.applyEvents([]protocol.Event{{Put: p, Value: bare, Version: 8}, {Put: q, Value: shardOf("i-1", "j-1", 4, 2), Version: 8}}, 8)
 		},
 		"own move": func(v *View) {
-			v.apply([]protocol.Event{{Put: q, Value: pageOf("i-1", "j-1", 4, 2), Version: 8}, {Put: p, Value: bare, Version: 8}}, true)
+			v.apply([]protocol.Event{{Put: q, Value: shardOf("i-1", "j-1", 4, 2), Version: 8}, {Put: p, Value: bare, Version: 8}}, true)
 		},
 		"drops, by the watch": func(v *View) {
 			v.applyEvents([]protocol.Event{{Delete: p, Version: 9}, {Delete: open, Version: 9}}, 9)
 		},
 		"page drops, by the watch": func(v *View) { v.applyEvents([]protocol.Event{{Delete: p, Version: 9}}, 9) },
 		"an older answer of the watch": func(v *View) {
-			v.applyEvents([]protocol.Event{{Put: open, Value: openJob(6), Version: 5}, {Put: p, Value: pageOf("i-1", "j-1", 4, 2), Version: 6}}, 6)
+			v.applyEvents([]protocol.Event{{Put: open, Value: openJob(6), Version: 5}, {Put: p, Value: shardOf("i-1", "j-1", 4, 2), Version: 6}}, 6)
 		},
 		"a late answer to an own commit": func(v *View) {
-			v.apply([]protocol.Event{{Put: p, Value: pageOf("i-1", "j-1", 4, 2), Version: 6}}, true)
+			v.apply([]protocol.Event{{Put: p, Value: shardOf("i-1", "j-1", 4, 2), Version: 6}}, true)
 		},
 	}
 	cases := []struct {
@@ -101,7 +101,7 @@
 		if cpus := float64(2 * tc.held); v.teamUse["t"].cpus != cpus || machine != cpus || held != tc.held || held > 0 && done != 2 || v.machines["i-2"] != nil {
 			t.Errorf("%v: team %v, machine %v, held %d, done %d", tc.order, v.teamUse["t"], machine, held, done)
 		}
-		if tc.held == 0 && (v.pages["p"] != nil || (len(v.jobs) > 0) != tc.jobLeft) {
+		if tc.held == 0 && (v.shards["p"] != nil || (len(v.jobs) > 0) != tc.jobLeft) {
 			t.Errorf("%v: a dropped job or page is back", tc.order)
 		}
 	}
@@ -121,7 +121,7 @@
 	for i := 0; i < mostOpenJobs; i++ {
 		id := fmt.Sprintf("j-%06d", i)
 		v.putJob(id, 64, uint64(3*i+1))
-		v.put(bookkeeping.Key(bookkeeping.KindPage, id), pageOf(fmt.Sprintf("i-%06d", i), id, 32, 32), uint64(3*i+2))
+		v.put(bookkeeping.Key(bookkeeping.KindShard, id), shardOf(fmt.Sprintf("i-%06d", i), id, 32, 32), uint64(3*i+2))
 	}
 	for i := 0; i < 200_000; i++ {
 		v.finals.add(fmt.Sprintf("j-%09d", i), bookkeeping.Done)
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -46,7 +46,7 @@
 	answeredAt             micros.T // when we last answered one: its lease may run from there
 	sessionAt              micros.T // when we learned of its session: that may have begun then
 	aliveAt                micros.T // when it last showed that our answers reach it
-	sentOff                micros.T // when it was last told to look for another controller, see forsaken
+	sentOff                micros.T // when it was last told to look for another controller, see sendsElsewhere
 	asked                  uint64   // the token that it must show for that
 	answered               uint64   // the token of our last answer
 	misses                 int      // check-ins in a row without it
@@ -117,9 +117,9 @@
 	return node
 }
 
-// ownership follows a change of the page that a machine stands in.
+// ownership follows a change of the shard that a machine stands in.
 func (c *Core) ownership(m *machine) {
-	mine := m.page != nil && c.owns(m.page)
+	mine := m.shard != nil && c.owns(m.shard)
 	switch {
 	case !mine:
 		m.w = nil
--- a/internal/coordination/zones.go
+++ b/internal/coordination/zones.go
@@ -19,7 +19,7 @@
 	if !z.oneZone && !z.spread {
 		return z
 	}
-	for _, p := range v.pages {
+	for _, p := range v.shards {
 		if e := p.rec.Jobs[j.id]; e != nil {
 			for _, h := range e.Held {
 				if m := p.rec.Machines[h.Machine]; m != nil {
--- a/internal/standin/checker.go
+++ b/internal/standin/checker.go
@@ -184,8 +184,8 @@
 	sentAt micros.T
 }
 
-// Ask notes that a user sends a request; nil for a request that is no user's.
-func (k *Checker) Ask(method, target string, body []byte) *Question {
+// Observe notes that a user sends a request; nil for a request that is no user's.
+func (k *Checker) Observe(method, target string, body []byte) *Question {
 	const root = "/v2/runs"
 	if !strings.HasPrefix(target, root) {
 		return nil
--- a/internal/standin/checker_test.go
+++ b/internal/standin/checker_test.go
@@ -39,7 +39,7 @@
 
 // tell has a user ask and be answered a moment later.
 func (d *watchedDay) tell(method, target string, body []byte, status int, state string) {
-	q := d.Ask(method, target, body)
+	q := d.Observe(method, target, body)
 	d.sim.Run(second / 10)
 	q.Answer(status, protocol.MustMarshal(&protocol.JobStatus{Status: state}))
 	d.sim.Run(second / 10)
@@ -110,14 +110,14 @@
 		}, RanCancelled},
 		{"running after cancelled", nil, func(d *watchedDay) { d.cancel(); d.poll(protocol.JobRunning) }, WentBack},
 		{"an answer that was on its way", nil, func(d *watchedDay) {
-			q := d.Ask("GET", "/v2/runs/j-1", nil)
+			q := d.Observe("GET", "/v2/runs/j-1", nil)
 			d.cancel()
 			q.Answer(200, protocol.MustMarshal(&protocol.JobStatus{Status: protocol.JobRunning}))
 		}, ""},
 		{"done after cancelled", nil, func(d *watchedDay) { d.cancel(); d.poll(protocol.JobDone) }, WentBack},
 		{"cancelled by nobody", nil, func(d *watchedDay) { d.poll(protocol.JobCancelled) }, WentBack},
 		{"cancelled on the way", nil, func(d *watchedDay) {
-			q := d.Ask("POST", "/v2/runs/j-2/abort", nil)
+			q := d.Observe("POST", "/v2/runs/j-2/abort", nil)
 			d.tell("POST", "/v2/runs", submission("j-2", nil), 201, protocol.JobPending)
 			q.Answer(200, protocol.MustMarshal(&protocol.JobStatus{Status: protocol.JobCancelled}))
 		}, ""},
