--- /dev/null
+++ b/internal/daemon/peers_test.go
@@ -0,0 +1,46 @@
+package daemon
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"pipitgap/internal/cancellation"
+	"pipitgap/internal/coordination"
+	"pipitgap/internal/micros"
+	"pipitgap/internal/transport"
+)
+
+// TestHintFitsFrame: whatever has been cancelled, each hint fits into a frame between
+// controllers. One that doesn't is dropped, and the receiver's leases would end for it.
+func TestHintFitsFrame(t *testing.T) {
+	relay := cancellation.NewRelay(1, []string{"n-1"})
+	failing := map[string]int{}
+	for i := range 5000 {
+		id := fmt.Sprintf("j-%s-%06d", strings.Repeat("x", 90), i)
+		relay.Note(cancellation.Committed{Job: id, Revision: uint64(1_000_000_000 + i)})
+		if i < 100 {
+			failing[id] = i
+		}
+	}
+	messages := relay.Messages("n-1", micros.Minute, 1, true)
+	if len(messages) < 5 {
+		t.Fatalf("%d messages", len(messages))
+	}
+	total := 0
+	for _, m := range messages {
+		hint := coordination.Hint{Node: "n-0", Incarnation: 1, Failing: failing, LackLimit: []string{"a", "b"}, Cancellations: m}
+		frame, err := transport.EncodeFrame(&hint)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var back coordination.Hint
+		if err := transport.DecodeFrame(frame[4:], &back); err != nil {
+			t.Fatal(err)
+		}
+		total += len(back.Cancellations.Committed)
+	}
+	if total != 5000 {
+		t.Errorf("%d of 5000 cancellations arrive", total)
+	}
+}
