--- a/internal/coordination/faults_standin_test.go
+++ b/internal/coordination/faults_standin_test.go
@@ -167,13 +167,22 @@
 	}}
 }
 
+// changesShares tells whether a commit changes, or drops, a controller's part of the
+// limits and nothing else.
+func changesShares(t *protocol.Txn, drops bool) bool {
+	if len(t.Then) != 1 || (t.Then[0].Delete != "") != drops {
+		return false
+	}
+	kind, _, _ := bookkeeping.SplitKey(t.Then[0].Put + t.Then[0].Delete)
+	return kind == bookkeeping.KindPartition
+}
+
 // lateShares has every second change of a controller's part of the limits, by itself,
 // get no answer and be carried out late.
 func lateShares(at, d micros.T) fault {
 	return fault{at, "late shares", func(s *scenario) {
 		s.store.Delay = func(t *protocol.Txn) micros.T {
-			kind, _, _ := bookkeeping.SplitKey(t.Then[0].Put)
-			if len(t.Then) == 1 && kind == bookkeeping.KindPartition && s.sim.Rand.IntN(2) == 0 {
+			if changesShares(t, false) && s.sim.Rand.IntN(2) == 0 {
 				return 3*sec + s.jitter(9*sec)
 			}
 			return 0
--- a/internal/coordination/shares_test.go
+++ b/internal/coordination/shares_test.go
@@ -5,6 +5,7 @@
 
 	"pipitgap/internal/bookkeeping"
 	"pipitgap/internal/config"
+	"pipitgap/internal/micros"
 	"pipitgap/internal/protocol"
 	"pipitgap/internal/standin"
 )
@@ -246,3 +247,42 @@
 		t.Error("room is kept for longer than it takes to be made")
 	}
 }
+
+// TestLateDropOfShares: what an absent controller has of the limits is dropped, but not
+// once it is back: it may have assigned tasks under its record by then.
+func TestLateDropOfShares(t *testing.T) {
+	for _, back := range []bool{false, true} {
+		s := newScenario(t, 3300)
+		s.start(s.names...)
+		s.sim.Run(3 * sec)
+		fullTeams(s)
+		s.sim.Run(40 * sec)
+		gone := following(1)(s)
+		key := partitionKey(gone)
+		if len(s.store.Keys(key)) == 0 {
+			t.Fatalf("%s has no share", gone)
+		}
+		sent := 0
+		s.store.Delay = func(t *protocol.Txn) micros.T {
+			if !changesShares(t, true) {
+				return 0
+			}
+			sent++
+			return 5 * sec
+		}
+		s.kill(gone)
+		if !s.sim.RunUntil(30*sec, func() bool { return sent > 0 }) {
+			t.Fatal("nobody drops the shares of the one that has gone")
+		}
+		if back {
+			s.start(gone)
+			s.sim.RunUntil(4*sec, func() bool { return s.nodes[s.names[0]].core.isLive(gone) })
+		}
+		s.store.Delay = nil
+		s.sim.Run(6 * sec)
+		if left := len(s.store.Keys(key)) > 0; left != back {
+			t.Errorf("back: %v; its record is left: %v", back, left)
+		}
+		s.rules()
+	}
+}
