fake: the open watch of a refused caller waits, as the protocol says

A controller that the fake state service refused still got the answer to its open watch, with the next change. So in every test with a refused controller, that controller heard of the first cancellation after the refusal: the tests were blind to what it cannot know.

The store now keeps the caller of a watch and answers it only when the caller is no longer refused. DelayResponse gets the caller and the call, so that a test can slow down one kind of call.

--- a/internal/coordination/controller_test.go
+++ b/internal/coordination/controller_test.go
@@ -53,7 +53,7 @@
 func (c *cluster) queueStoreCalls(node string, priority ratelimit.Priority, calls int) {
 	c.t.Helper()
 	store := c.nodes[node].controller.store
-	c.store.DelayResponse = func() monotime.Micros { return 2 * second }
+	c.store.DelayResponse = func(string, *protocol.StoreCall) monotime.Micros { return 2 * second }
 	for store.QueuedCalls(priority) < calls {
 		call := &protocol.StoreCall{Op: protocol.StoreGet, Key: storage.LeaderKey}
 		store.Call(priority, call, func(protocol.StoreResult) {})
--- a/internal/coordination/drain_permits_test.go
+++ b/internal/coordination/drain_permits_test.go
@@ -83,7 +83,7 @@
 			s.floors["intake"] = 8
 			s.sample()
 			s.fleet.OnStop = s.checkStop
-			s.store.DelayResponse = func() monotime.Micros { return s.randomDuration(second) }
+			s.store.DelayResponse = func(string, *protocol.StoreCall) monotime.Micros { return s.randomDuration(second) }
 			if seed%2 == 0 {
 				s.losePermitAnswers(3)
 			}
--- a/internal/coordination/fault_injection_test.go
+++ b/internal/coordination/fault_injection_test.go
@@ -307,7 +307,7 @@
 // whose timeout passes first gets no response.
 func slowStoreReplies(at monotime.Micros, maxDelay, duration monotime.Micros) fault {
 	return fault{at, "slow store replies", func(s *scenario) {
-		s.store.DelayResponse = func() monotime.Micros { return s.randomDuration(maxDelay) }
+		s.store.DelayResponse = func(string, *protocol.StoreCall) monotime.Micros { return s.randomDuration(maxDelay) }
 		s.sim.After(duration, func() { s.store.DelayResponse = nil })
 	}}
 }
--- a/internal/fake/state_store.go
+++ b/internal/fake/state_store.go
@@ -30,15 +30,16 @@
 
 // StoreFaults are the faults that a test injects into a StateStore.
 type StoreFaults struct {
-	Down           bool            // the store answers all calls with 503
-	RefusedCallers map[string]bool // the store answers calls of these callers with 503
+	Down bool // the store answers all calls with 503
+	// RefusedCallers are the callers whose calls the store answers with 503. Their open watches wait.
+	RefusedCallers map[string]bool
 	// LoseResponse, if set, reports whether the store drops the response to a commit that it has applied.
 	LoseResponse func(*protocol.Transaction) bool
 	// DelayCommit, if set, returns a delay. If it is above 0, the store applies the commit after the delay
 	// and never answers it.
 	DelayCommit func(*protocol.Transaction) monotime.Micros
 	// DelayResponse, if set, returns a delay that the store adds to the response of a call.
-	DelayResponse func() monotime.Micros
+	DelayResponse func(caller string, call *protocol.StoreCall) monotime.Micros
 }
 
 // StoreCounters count the calls that a StateStore has handled and their effects.
@@ -123,7 +124,7 @@
 	s.Clock.After(call.Timeout, func() { answer(protocol.StoreResult{}) })
 	reply := answer
 	if s.DelayResponse != nil {
-		delay := s.DelayResponse()
+		delay := s.DelayResponse(caller, &call)
 		reply = func(result protocol.StoreResult) { s.Clock.After(delay, func() { answer(result) }) }
 	}
 	s.Clock.After(serviceLatency, func() { s.handle(caller, &call, reply) })
@@ -152,7 +153,7 @@
 	case protocol.StoreKeepAlive:
 		answer(s.keepAlive(call))
 	case protocol.StoreWatch:
-		s.handleWatch(call, answer)
+		s.handleWatch(caller, call, answer)
 	}
 }
 
--- a/internal/fake/state_store_watches.go
+++ b/internal/fake/state_store_watches.go
@@ -15,16 +15,17 @@
 
 // watch is a blocked watch call: it has no answer until a key below its prefix changes or MaxBlock passes.
 type watch struct {
+	caller   string
 	call     *protocol.StoreCall
 	callback func(protocol.StoreResult)
 	answered bool
 }
 
 // handleWatch answers a watch immediately if there are changes since its revision. Otherwise the watch blocks
-// until the next change, or for MaxBlock at most; then its answer contains no changes. During an outage it
-// gets no answer.
-func (s *StateStore) handleWatch(call *protocol.StoreCall, answer func(protocol.StoreResult)) {
-	waiting := &watch{call: call, callback: answer}
+// until the next change, or for MaxBlock at most; then its answer contains no changes. During an outage, or
+// while the store refuses its caller, it gets no answer.
+func (s *StateStore) handleWatch(caller string, call *protocol.StoreCall, answer func(protocol.StoreResult)) {
+	waiting := &watch{caller: caller, call: call, callback: answer}
 	if s.answerWatch(waiting, false) {
 		return
 	}
@@ -42,6 +43,9 @@
 	if waiting.answered {
 		return true
 	}
+	if s.RefusedCallers[waiting.caller] {
+		return false
+	}
 	if waiting.call.FromRevision < s.compactedRevision {
 		waiting.answered = true
 		waiting.callback(protocol.StoreResult{Outcome: protocol.Compacted})
