agents: an answer that renews a lease repeats the kill of a task that must end

What callers saw: a cancelled task on its machine after cancel_s. A controller that knew the cancellation had sent the kill directly, the command was late or lost, and a heartbeat within the next second got an answer without the kill, which renewed the lease of a task that would have ended with it. At the end of an outage, just before the leases end, that is too late for the next answer.

Cause: a command counted as sent for a second, whatever became of it, also in answers that renew the lease. The lease argument in docs/design.md needs the kill in every such answer once the cancellation is known.

Fix: such an answer contains a kill for each unfinished attempt of an ended job and for each attempt that the records don't contain, ahead of reaps, so that the bound of a batch can't leave it out. Other commands, also kills of preempted tasks, are repeated after a second as before.

--- a/internal/agents/commands.go
+++ b/internal/agents/commands.go
@@ -34,8 +34,9 @@
 
 // commandBatch collects the commands of one batch.
 type commandBatch struct {
-	now      monotime.Micros
-	commands []protocol.Command
+	now         monotime.Micros
+	renewsLease bool // the batch is part of an answer that renews the agent's lease
+	commands    []protocol.Command
 }
 
 // markIfDue reports whether a command that was last sent at sentAt is due and fits into the batch. If so, it
@@ -48,6 +49,15 @@
 	return true
 }
 
+// markKillIfDue is like markIfDue for a kill. An answer that renews the lease repeats a kill that was just
+// sent, if the attempt must not outlive the answer: the kill may have been lost.
+func (b *commandBatch) markKillIfDue(sentAt *monotime.Micros, mustEnd bool) bool {
+	if b.renewsLease && mustEnd {
+		*sentAt = 0
+	}
+	return b.markIfDue(sentAt)
+}
+
 // add appends a command.
 func (b *commandBatch) add(op protocol.CommandOp, key AttemptID) {
 	b.commands = append(b.commands, protocol.Command{Op: op, Task: key.Task.String(), Attempt: key.Attempt})
@@ -59,17 +69,35 @@
 	b.commands[len(b.commands)-1].GraceS = &graceSeconds
 }
 
-// NextCommands returns the commands that the agent needs: reaps and kills first, then runs. Each non-empty
+// NextCommands returns the commands that the agent needs: kills and reaps first, then runs. Each non-empty
 // batch has a new token above all earlier ones, so a delayed copy of an earlier batch cannot undo it.
 func (a *Agent) NextCommands(
 	machine *mirror.Machine,
 	jobs map[string]*mirror.Job,
 	now monotime.Micros,
 ) []protocol.Command {
-	batch := &commandBatch{now: now, commands: []protocol.Command{}}
-	a.endUnexpectedAttempts(batch, machine)
+	return a.fillBatch(&commandBatch{now: now, commands: []protocol.Command{}}, machine, jobs)
+}
+
+// renewalCommands returns the commands for an answer that renews the agent's lease. They contain a kill for
+// each unfinished attempt of a job that has ended.
+func (a *Agent) renewalCommands(
+	machine *mirror.Machine,
+	jobs map[string]*mirror.Job,
+	now monotime.Micros,
+) []protocol.Command {
+	return a.fillBatch(&commandBatch{now: now, renewsLease: true, commands: []protocol.Command{}}, machine, jobs)
+}
+
+// fillBatch adds all commands that are due to a batch and returns them.
+func (a *Agent) fillBatch(
+	batch *commandBatch,
+	machine *mirror.Machine,
+	jobs map[string]*mirror.Job,
+) []protocol.Command {
 	kills, runs := a.unfinishedAttempts(machine, jobs)
 	a.killAttempts(batch, kills, jobs)
+	a.endUnexpectedAttempts(batch, machine)
 	for _, key := range runs {
 		if batch.markIfDue(&a.recordOf(key).runSentAt) {
 			batch.add(protocol.CmdRun, key)
@@ -98,7 +126,7 @@
 			if batch.markIfDue(&record.reapSentAt) {
 				batch.add(protocol.CmdReap, key)
 			}
-		} else if batch.markIfDue(&record.killSentAt) {
+		} else if batch.markKillIfDue(&record.killSentAt, true) {
 			batch.addKill(key, 0)
 		}
 	}
@@ -139,7 +167,7 @@
 	nextToken := a.Token() + 1
 	for _, key := range kills {
 		record := a.recordOf(key)
-		if !batch.markIfDue(&record.killSentAt) {
+		if !batch.markKillIfDue(&record.killSentAt, !jobs[key.Task.Job].IsOpen()) {
 			continue
 		}
 		if record.killToken == 0 {
--- a/internal/agents/commands_test.go
+++ b/internal/agents/commands_test.go
@@ -118,6 +118,59 @@
 	}
 }
 
+// TestLeaseRenewalRepeatsKillJustSent guards against an answer that renews a lease without the kill of a task
+// that must end, because the same kill was sent moments before.
+func TestLeaseRenewalRepeatsKillJustSent(t *testing.T) {
+	kill := string(protocol.CmdKill)
+	cases := []struct {
+		name    string
+		prepare func(replica *mirror.Mirror, agent *Agent, report *protocol.Heartbeat)
+		renewal string
+	}{
+		{"cancelled job", func(replica *mirror.Mirror, _ *Agent, _ *protocol.Heartbeat) {
+			cancelJob(replica)
+		}, kill + " j-1/0 1 grace 0"},
+		{"cancelled job, more reaps than fit", func(replica *mirror.Mirror, _ *Agent, report *protocol.Heartbeat) {
+			cancelJob(replica)
+			for i := range 2*maxCommandsPerBatch + 5 {
+				report.Tasks = append(report.Tasks, protocol.TaskStatus{
+					Task: fmt.Sprintf("j-2/%d", i), Attempt: 1, State: protocol.StateExited,
+				})
+			}
+		}, kill + " j-1/0 1 grace 0"},
+		{"attempt that the records do not contain", func(_ *mirror.Mirror, _ *Agent, report *protocol.Heartbeat) {
+			report.Tasks = append(report.Tasks,
+				protocol.TaskStatus{Task: "j-2/0", Attempt: 1, State: protocol.StateRunning})
+		}, kill + " j-2/0 1 grace 0"},
+		{"preempted job continues", func(_ *mirror.Mirror, agent *Agent, _ *protocol.Heartbeat) {
+			agent.StopAttempt(testAttempt)
+		}, ""},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			replica, machine := newMirrorWithAttempt(t, storage.JobSpec{})
+			agent := New(testClaim, 0)
+			report := testReport(1, 1, testBase)
+			report.Tasks = []protocol.TaskStatus{{Task: "j-1/0", Attempt: 1, State: protocol.StateRunning}}
+			tc.prepare(replica, agent, report)
+			agent.ApplyReport(machine, replica.Jobs, report, 0, testLease)
+			direct := agent.BeginCommandRequest(machine, replica.Jobs, monotime.Second)
+			if direct == nil || !strings.HasPrefix(formatCommands(direct.Commands), kill) {
+				t.Fatalf("direct request %+v, want one that begins with a kill", direct)
+			}
+			received, ok := agent.Receive(testReport(1, 2, testBase), monotime.Second+1)
+			if !ok {
+				t.Fatal("the heartbeat is not answered")
+			}
+			reply := agent.Reply(received, machine, replica.Jobs, 10*monotime.Second)
+			got, _, _ := strings.Cut(formatCommands(reply.Commands), ",")
+			if got != tc.renewal {
+				t.Errorf("first command of the answer: got %q, want %q", got, tc.renewal)
+			}
+		})
+	}
+}
+
 // TestBatchIsBounded checks that a batch has at most maxCommandsPerBatch commands and that the next batch
 // carries the remaining ones.
 func TestBatchIsBounded(t *testing.T) {
--- a/internal/agents/replies.go
+++ b/internal/agents/replies.go
@@ -52,7 +52,7 @@
 	} else {
 		a.tokens.unacknowledgedCount = 0
 	}
-	commands := a.NextCommands(machine, jobs, received.receivedAt)
+	commands := a.renewalCommands(machine, jobs, received.receivedAt)
 	mustProveReachability := received.restarted || received.sincePrevious > silenceLimit ||
 		a.tokens.unacknowledgedCount >= maxUnacknowledged
 	if a.tokens.claimAcknowledged && mustProveReachability && a.tokens.required <= acknowledged {
