Cancellations: one place that learns them, log lines, counts and run-time invariants

Need: the log could not tell from which source a cancellation became known, by which path and from where it was confirmed, why a lease was renewed or refused, or which commands were sent.

agents.Cancellations.Learn is now the one function through which own commits, watches, loads and rounds bring a cancellation in, with its source. Every answer that a job is cancelled passes through api.Handler.confirmCancellation, every decision that no lease may be renewed through agents.Manager.leaseRefusal. No behaviour changes.

Log: 'cancellation known', 'cancellation confirmed', 'commands sent', 'heartbeat refused' with its reason and 'watch applied' at debug; 'worker lease renewal suspended' with what the knowledge rests on and 'leader elected' with the incarnation at info. Counts in 'summary'.

internal/invariant: a violation is an error line with its evidence and a count; the process goes on. Four rules are checked in every answer and batch of commands; every test of the simulated cluster fails on a violation.

--- a/internal/agents/cancellations.go
+++ b/internal/agents/cancellations.go
@@ -12,8 +12,9 @@
 	"pipitgap/internal/storage"
 )
 
-// Cancellations synchronizes the mirror with the committed cancellations that controllers exchange, and
-// decides whether that knowledge is recent enough to renew worker leases.
+// Cancellations is the only place where a controller learns of committed cancellations and decides what
+// follows from that knowledge: whether a user may be told of a cancellation, and whether worker leases may be
+// renewed. It keeps the mirror and the exchange between controllers in step.
 type Cancellations struct {
 	mirror        *mirror.Mirror
 	relay         *cancellation.Relay
@@ -22,6 +23,7 @@
 	log           *slog.Logger
 
 	renewalSuspended bool // the state in the last log line
+	learned          map[cancellation.Source]int
 }
 
 // NewCancellations starts the exchange between a controller's current incarnation and its peers. freshAt
@@ -40,6 +42,7 @@
 		freshAt:       freshAt,
 		renewalWindow: renewalWindow,
 		log:           log,
+		learned:       map[cancellation.Source]int{},
 	}
 }
 
@@ -47,14 +50,27 @@
 // cancellation that is unknown here, so long ago that the job's tasks would outlive the cancellation deadline
 // if their workers' leases were renewed now.
 func (cs *Cancellations) SuspendsLeaseRenewal(now monotime.Micros) bool {
-	suspended := now-cs.relay.ConfirmedUntil(cs.freshAt(), now) >= cs.renewalWindow
+	knowledge := cs.relay.Knowledge(cs.freshAt(), now)
+	suspended := now-knowledge.Until >= cs.renewalWindow
 	if suspended != cs.renewalSuspended {
 		cs.renewalSuspended = suspended
-		cs.log.Info("worker lease renewal suspended", "state", logging.ConditionState(suspended))
+		cs.log.Info("worker lease renewal suspended",
+			"state", logging.ConditionState(suspended),
+			"mirror_age_ms", (now - knowledge.MirrorFreshAt).Milliseconds(),
+			"exchange_age_ms", (now - knowledge.PeersUntil).Milliseconds(),
+			"node", knowledge.EarliestPeer)
 	}
 	return suspended
 }
 
+// KnowledgeAge returns how old this controller's knowledge of cancellations is.
+func (cs *Cancellations) KnowledgeAge(now monotime.Micros) monotime.Micros {
+	return now - cs.relay.Knowledge(cs.freshAt(), now).Until
+}
+
+// RenewalWindow returns the age of that knowledge from which on leases are not renewed.
+func (cs *Cancellations) RenewalWindow() monotime.Micros { return cs.renewalWindow }
+
 // MessagesFor returns the messages of one round for a peer. recordsLoaded says whether this incarnation of
 // the controller has read all records.
 func (cs *Cancellations) MessagesFor(
@@ -63,25 +79,52 @@
 	return cs.relay.MessagesFor(peer, now, cs.mirror.WatchedRevision, recordsLoaded)
 }
 
+// Learn takes in a committed cancellation: the peers receive it, the workers of this controller get commands to
+// stop the job's tasks, and users see the result. It must be called before any user receives an answer that
+// confirms the cancellation.
+func (cs *Cancellations) Learn(committed cancellation.Committed, source cancellation.Source) {
+	if cs.relay.Add(committed) {
+		cs.note(committed, source)
+	}
+}
+
+// note counts and logs a cancellation that has just become known.
+func (cs *Cancellations) note(committed cancellation.Committed, source cancellation.Source) {
+	cs.learned[source]++
+	cs.log.Debug("cancellation known",
+		"job", committed.Job, "revision", committed.Revision, "source", string(source))
+}
+
+// Learned returns how many cancellations have become known from a source.
+func (cs *Cancellations) Learned(source cancellation.Source) int { return cs.learned[source] }
+
+// Holds reports whether a job's cancellation is part of the exchange.
+func (cs *Cancellations) Holds(job string) bool {
+	_, known := cs.relay.RevisionOf(job)
+	return known
+}
+
+// MayConfirm reports whether a user may be told that a job is cancelled: the exchange holds the cancellation,
+// or nothing of the job is left on any machine, so that no open record of it is in the mirror.
+func (cs *Cancellations) MayConfirm(job string) bool {
+	return cs.Holds(job) || cs.mirror.Jobs[job] == nil
+}
+
 // Receive applies the cancellations in a peer's message that the mirror lacks. They are committed and
-// therefore final: the workers of this controller receive commands to stop the tasks, and users see the
-// result.
+// therefore final.
 func (cs *Cancellations) Receive(peer string, message cancellation.RoundMessage) {
 	for _, cancelled := range cs.relay.Receive(peer, message) {
+		cs.note(cancelled, cancellation.SourcePeer)
 		if cancelled.Revision > cs.mirror.WatchedRevision {
 			cs.apply(cancelled)
 		}
 	}
 }
 
-// Add stores a cancellation that this controller has committed, to send it to the peers. It must be called
-// before any user receives an answer that confirms the cancellation.
-func (cs *Cancellations) Add(committed cancellation.Committed) { cs.relay.Add(committed) }
-
-// Record stores the cancellation of a job, to send it to the peers, if the mirror contains one.
-func (cs *Cancellations) Record(job *mirror.Job) {
+// Record learns the cancellation of a job if the mirror contains one.
+func (cs *Cancellations) Record(job *mirror.Job, source cancellation.Source) {
 	if job != nil && job.FinalState == storage.JobCancelled && job.FinalRevision != 0 {
-		cs.Add(cancellation.Committed{Job: job.ID, Revision: job.FinalRevision})
+		cs.Learn(cancellation.Committed{Job: job.ID, Revision: job.FinalRevision}, source)
 	}
 }
 
@@ -93,7 +136,7 @@
 // longer exist.
 func (cs *Cancellations) Reconcile() {
 	for _, id := range sortedmap.Keys(cs.mirror.Jobs) {
-		cs.Record(cs.mirror.Jobs[id])
+		cs.Record(cs.mirror.Jobs[id], cancellation.SourceLoad)
 	}
 	cs.relay.Prune(cs.mirror.WatchedRevision, func(id string) bool {
 		job := cs.mirror.Jobs[id]
--- a/internal/agents/cancellations_test.go
+++ b/internal/agents/cancellations_test.go
@@ -64,7 +64,7 @@
 	cancelJob(replica)
 	replica.WatchedRevision = 30
 	cs := newTestCancellations(replica, 0)
-	cs.Add(cancellation.Committed{Job: "j-gone", Revision: 9})
+	cs.Learn(cancellation.Committed{Job: "j-gone", Revision: 9}, cancellation.SourcePeer)
 	cs.Reconcile()
 	messages := cs.MessagesFor("n-1", 0, true)
 	if len(messages) != 1 || len(messages[0].Committed) != 1 || messages[0].Committed[0].Job != testTask.Job {
--- a/internal/agents/dependencies.go
+++ b/internal/agents/dependencies.go
@@ -4,6 +4,7 @@
 	"log/slog"
 
 	"pipitgap/internal/durations"
+	"pipitgap/internal/invariant"
 	"pipitgap/internal/mirror"
 	"pipitgap/internal/monotime"
 	"pipitgap/internal/protocol"
@@ -32,6 +33,7 @@
 	Shards        Shards
 	Scheduler     Scheduler
 	Cancellations LeasePolicy
+	Invariants    *invariant.Recorder
 	// IsCordoned reports whether a drain bars a machine from new tasks.
 	IsCordoned func(machine *mirror.Machine) bool
 	Log        *slog.Logger
@@ -153,8 +155,14 @@
 	FinalResultSeenAt(job string) monotime.Micros
 }
 
-// LeasePolicy decides whether worker leases may be renewed.
+// LeasePolicy decides whether worker leases may be renewed, and knows which jobs are cancelled.
 type LeasePolicy interface {
 	// SuspendsLeaseRenewal reports whether heartbeats must go unanswered so that leases expire.
 	SuspendsLeaseRenewal(now monotime.Micros) bool
+	// KnowledgeAge returns how old the knowledge of cancellations is.
+	KnowledgeAge(now monotime.Micros) monotime.Micros
+	// RenewalWindow returns the age of that knowledge from which on leases are not renewed.
+	RenewalWindow() monotime.Micros
+	// Holds reports whether a job is known to be cancelled, whatever the mirror contains of it.
+	Holds(job string) bool
 }
--- a/internal/agents/heartbeats.go
+++ b/internal/agents/heartbeats.go
@@ -36,29 +36,42 @@
 		return
 	}
 	now := m.env.Now()
-	if refusal, refused := m.refusalForAll(now); refused {
-		respond(refusal)
+	if refusal := m.leaseRefusal(now); refusal != nil {
+		m.counters.LeasesRefused++
+		m.log.Debug("heartbeat refused", "machine", report.Machine, "reason", refusal.reason)
+		respond(refusal.response)
 		return
 	}
 	m.dispatchHeartbeat(&report, m.logResponse(&report, respond, now), now)
 }
 
-// refusalForAll returns the response to every heartbeat while this controller may not renew any lease.
-func (m *Manager) refusalForAll(now monotime.Micros) (refusal transport.Response, refused bool) {
+// leaseRefusal is why this controller may renew no lease at present.
+type leaseRefusal struct {
+	reason   string
+	response transport.Response
+}
+
+// unavailableRefusal returns a refusal with status 503.
+func unavailableRefusal(reason string) *leaseRefusal {
+	return &leaseRefusal{reason, protocol.ErrorResponse(transport.StatusUnavailable, reason)}
+}
+
+// leaseRefusal decides whether this controller may renew leases now. It returns nil if it may.
+func (m *Manager) leaseRefusal(now monotime.Micros) *leaseRefusal {
 	if peer, onlyHere := m.reachability.StoreUnreachableOnlyHere(now); onlyHere {
-		return redirectResponse(peer), true
+		return &leaseRefusal{"state service unreachable only here", redirectResponse(peer)}
 	}
 	if !m.replica.Ready() {
-		return protocol.ErrorResponse(transport.StatusUnavailable, "records not read yet"), true
+		return unavailableRefusal("records not read yet")
 	}
 	if m.pauses.IsStale(m.replica.FreshAt(), now) {
 		// The heartbeat may have waited in this process for as long as the process was paused.
-		return protocol.ErrorResponse(transport.StatusUnavailable, "stood still"), true
+		return unavailableRefusal("stood still")
 	}
 	if m.cancellations.SuspendsLeaseRenewal(now) {
-		return protocol.ErrorResponse(transport.StatusUnavailable, "cut off from the state service"), true
+		return unavailableRefusal("cut off from the state service")
 	}
-	return transport.Response{}, false
+	return nil
 }
 
 // dispatchHeartbeat answers a heartbeat according to which controller has claimed its machine.
@@ -126,6 +139,9 @@
 		m.applyReport(machine, report)
 	}
 	reply := agent.Reply(received, machine, m.mirror.Jobs, m.durations.PlacementSilenceLimit)
+	m.counters.LeasesRenewed++
+	m.recordCommands(machine.ID, reply.FencingToken, reply.Commands, routeHeartbeat)
+	m.checkRenewal(machine, agent, reply)
 	return transport.Response{Status: transport.StatusOK, Body: protocol.MustMarshal(reply)}
 }
 
--- a/internal/agents/manager.go
+++ b/internal/agents/manager.go
@@ -4,6 +4,7 @@
 	"log/slog"
 
 	"pipitgap/internal/durations"
+	"pipitgap/internal/invariant"
 	"pipitgap/internal/logging"
 	"pipitgap/internal/membership"
 	"pipitgap/internal/mirror"
@@ -34,10 +35,12 @@
 	shards        Shards
 	scheduler     Scheduler
 	cancellations LeasePolicy
+	invariants    *invariant.Recorder
 	isCordoned    func(machine *mirror.Machine) bool
 	log           *slog.Logger
 
 	byMachine map[string]*Agent
+	counters  Counters
 	// the earliest time of the next change of a machine's designated controller
 	nextDesignationChangeAt monotime.Micros
 	// by machine: contacts by workers whose machines other controllers own
@@ -66,6 +69,7 @@
 		shards:            dependencies.Shards,
 		scheduler:         dependencies.Scheduler,
 		cancellations:     dependencies.Cancellations,
+		invariants:        dependencies.Invariants,
 		isCordoned:        dependencies.IsCordoned,
 		log:               dependencies.Log,
 		byMachine:         map[string]*Agent{},
@@ -164,8 +168,12 @@
 	if request == nil {
 		return
 	}
+	m.recordCommands(machine.ID, request.FencingToken, request.Commands, routeDirect)
 	m.env.SendCommands(machine.Record.Endpoint, request, commandTimeout, func(result protocol.CommandResult) {
 		agent.EndCommandRequest()
+		if !result.OK() {
+			m.counters.DirectFailures++
+		}
 		if m.Of(machine) != agent {
 			return // the machine has been claimed again or released
 		}
--- a/internal/agents/manager_test.go
+++ b/internal/agents/manager_test.go
@@ -6,6 +6,7 @@
 
 	"pipitgap/internal/config"
 	"pipitgap/internal/durations"
+	"pipitgap/internal/invariant"
 	"pipitgap/internal/mirror"
 	"pipitgap/internal/monotime"
 	"pipitgap/internal/protocol"
@@ -59,6 +60,7 @@
 	passes    int
 	exits     []Exit
 	suspended bool
+	cancelled map[string]bool // jobs that the exchange knows to be cancelled
 }
 
 func (s *stubs) Now() monotime.Micros { return s.now }
@@ -135,6 +137,9 @@
 func (s *stubs) WithdrawFailuresOn(*mirror.Machine)              {}
 func (s *stubs) FinalResultSeenAt(string) monotime.Micros        { return 0 }
 func (s *stubs) SuspendsLeaseRenewal(monotime.Micros) bool       { return s.suspended }
+func (s *stubs) KnowledgeAge(monotime.Micros) monotime.Micros    { return 0 }
+func (s *stubs) RenewalWindow() monotime.Micros                  { return 10 * second }
+func (s *stubs) Holds(job string) bool                           { return s.cancelled[job] }
 
 // testWorkers are the platform's durations in these tests.
 var testWorkers = config.Workers{HeartbeatIntervalS: 2, LeaseS: 12, CancelTimeoutS: 32}
@@ -175,6 +180,7 @@
 			Shards:        s,
 			Scheduler:     s,
 			Cancellations: s,
+			Invariants:    invariant.NewRecorder(slog.New(slog.DiscardHandler)),
 			IsCordoned:    func(*mirror.Machine) bool { return false },
 			Log:           slog.New(slog.DiscardHandler),
 		},
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -14,6 +14,7 @@
 	"math/rand/v2"
 
 	"pipitgap/internal/cancellation"
+	"pipitgap/internal/invariant"
 	"pipitgap/internal/mirror"
 	"pipitgap/internal/monotime"
 	"pipitgap/internal/protocol"
@@ -89,11 +90,12 @@
 	JobAccepted(job string, revision uint64)
 }
 
-// Cancellations forwards committed cancellations to the other controllers.
+// Cancellations knows the committed cancellations and forwards them to the other controllers.
 type Cancellations interface {
-	// Add records a cancellation for the other controllers. The handler calls it before it responds to any
-	// user.
-	Add(cancellation.Committed)
+	// Learn takes in a committed cancellation. The handler calls it before it responds to any user.
+	Learn(cancellation.Committed, cancellation.Source)
+	// MayConfirm reports whether a user may be told that a job is cancelled.
+	MayConfirm(job string) bool
 }
 
 // Config holds the dependencies and settings of a Handler.
@@ -108,6 +110,7 @@
 	Quota         Quota
 	Scheduler     Scheduler
 	Cancellations Cancellations
+	Invariants    *invariant.Recorder
 	// PlaceNow places pending tasks. The handler calls it after the response to an accepted submission, so
 	// that the job's tasks don't wait for the next tick.
 	PlaceNow      func()
@@ -116,8 +119,9 @@
 
 // Counters holds event counts since the start of the controller.
 type Counters struct {
-	JobsAccepted     int // committed submissions
-	RequestsDeferred int // requests rejected with a delay after which to retry
+	JobsAccepted           int // committed submissions
+	RequestsDeferred       int // requests rejected with a delay after which to retry
+	CancellationsConfirmed int // answers that a job is cancelled
 }
 
 // Handler handles the requests of users.
@@ -132,6 +136,7 @@
 	quota         Quota
 	scheduler     Scheduler
 	cancellations Cancellations
+	invariants    *invariant.Recorder
 	placeNow      func()
 	maxValueBytes int
 
@@ -152,6 +157,7 @@
 		quota:         config.Quota,
 		scheduler:     config.Scheduler,
 		cancellations: config.Cancellations,
+		invariants:    config.Invariants,
 		placeNow:      config.PlaceNow,
 		maxValueBytes: config.MaxValueBytes,
 		bursts:        newBurstLimiter(config.Environment, config.StateService),
--- a/internal/api/cancellation.go
+++ b/internal/api/cancellation.go
@@ -2,6 +2,7 @@
 
 import (
 	"pipitgap/internal/cancellation"
+	"pipitgap/internal/invariant"
 	"pipitgap/internal/protocol"
 	"pipitgap/internal/ratelimit"
 	"pipitgap/internal/storage"
@@ -16,7 +17,7 @@
 		return
 	}
 	if state, ok := h.cachedResult(id); ok {
-		respond(endedResponse(id, state))
+		respond(h.answerEnded(id, state))
 		return
 	}
 	if rejection := h.rejectIfUnavailable(); rejection != nil {
@@ -30,12 +31,12 @@
 	// The mirror doesn't contain the job: the job has ended, was never accepted, or is newer than the mirror.
 	h.lookUp(id, func(l lookup) {
 		if state, ok := h.cachedResult(id); ok {
-			respond(endedResponse(id, state))
+			respond(h.answerEnded(id, state))
 			return
 		}
 		switch {
 		case !l.accepted():
-			respond(l.response())
+			respond(h.answer(l, requestCancellation))
 		case h.mirror.Jobs[id] != nil:
 			h.CommitCancellation(id, respond)
 		default:
@@ -54,8 +55,9 @@
 		switch result.Outcome {
 		case protocol.OK:
 			h.log.Debug("job cancelled", "job", id)
-			h.cancellations.Add(cancellation.Committed{Job: id, Revision: result.Revision})
-			respond(endedResponse(id, storage.JobCancelled))
+			committed := cancellation.Committed{Job: id, Revision: result.Revision}
+			h.cancellations.Learn(committed, cancellation.SourceOwnCommit)
+			respond(h.answerEnded(id, storage.JobCancelled))
 		case protocol.Conflict:
 			h.answerEndedJob(id, respond)
 		default:
@@ -64,17 +66,35 @@
 	})
 }
 
+// answerEnded returns the response to a cancellation of a job that has a result.
+func (h *Handler) answerEnded(id string, state storage.JobState) transport.Response {
+	if state == storage.JobCancelled {
+		h.confirmCancellation(id, requestCancellation)
+	}
+	return endedResponse(id, state)
+}
+
+// confirmCancellation logs and counts that a user is told that a job is cancelled. Every such answer passes
+// through it.
+func (h *Handler) confirmCancellation(id string, request requestKind) {
+	if !h.cancellations.MayConfirm(id) {
+		h.invariants.Violated(invariant.ConfirmedIsExchanged, "job", id, "request", string(request))
+	}
+	h.counters.CancellationsConfirmed++
+	h.log.Debug("cancellation confirmed", "job", id, "request", string(request))
+}
+
 // answerEndedJob responds to a cancellation that conflicted with an earlier result of the job.
 func (h *Handler) answerEndedJob(id string, respond Respond) {
 	h.lookUp(id, func(l lookup) {
 		if state, ok := h.cachedResult(id); ok {
-			respond(endedResponse(id, state))
+			respond(h.answerEnded(id, state))
 			return
 		}
 		if l.accepted() {
 			respond(h.deferRequest(transport.StatusUnavailable, reasonJobChanging).response())
 			return
 		}
-		respond(l.response())
+		respond(h.answer(l, requestCancellation))
 	})
 }
--- a/internal/api/fakes_test.go
+++ b/internal/api/fakes_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"pipitgap/internal/cancellation"
+	"pipitgap/internal/invariant"
 	"pipitgap/internal/mirror"
 	"pipitgap/internal/monotime"
 	"pipitgap/internal/protocol"
@@ -43,6 +44,7 @@
 	classes   []ratelimit.Priority
 	accepted  map[string]uint64
 	cancelled []cancellation.Committed
+	sources   []cancellation.Source // of cancelled
 	placed    int
 }
 
@@ -96,6 +98,7 @@
 		Quota:         d,
 		Scheduler:     d,
 		Cancellations: d,
+		Invariants:    invariant.NewRecorder(slog.New(slog.DiscardHandler)),
 		PlaceNow:      d.PlaceNow,
 		MaxValueBytes: 4096,
 	})
@@ -176,9 +179,10 @@
 
 func (d *fakeDependencies) JobAccepted(job string, revision uint64) { d.accepted[job] = revision }
 func (d *fakeDependencies) PlaceNow()                               { d.placed++ }
-func (d *fakeDependencies) Add(cancelled cancellation.Committed) {
-	d.cancelled = append(d.cancelled, cancelled)
+func (d *fakeDependencies) Learn(cancelled cancellation.Committed, source cancellation.Source) {
+	d.cancelled, d.sources = append(d.cancelled, cancelled), append(d.sources, source)
 }
+func (d *fakeDependencies) MayConfirm(string) bool { return true }
 func (d *fakeDependencies) putRecord(kind storage.Kind, id string, value any) {
 	d.records[storage.Key(kind, id)] = protocol.MustMarshal(value)
 }
--- a/internal/api/lookup.go
+++ b/internal/api/lookup.go
@@ -22,6 +22,15 @@
 	lookupFailed                         // the lookup could not be completed; lookup.rejection is set
 )
 
+// requestKind is the kind of a user's request, as logged.
+type requestKind string
+
+const (
+	requestSubmission   requestKind = "submission"
+	requestStatus       requestKind = "status"
+	requestCancellation requestKind = "cancellation"
+)
+
 // lookup is the result of looking up a job.
 type lookup struct {
 	id        string
@@ -36,6 +45,20 @@
 	return l.outcome == foundInMirror || l.outcome == foundResult || l.outcome == foundOpenRecord
 }
 
+// cancelled reports whether the lookup found that the job is cancelled.
+func (l lookup) cancelled() bool {
+	return l.outcome == foundResult && l.state == storage.JobCancelled ||
+		l.outcome == foundInMirror && l.job.FinalState == storage.JobCancelled
+}
+
+// answer returns the response to a request from a lookup.
+func (h *Handler) answer(l lookup, request requestKind) transport.Response {
+	if l.cancelled() {
+		h.confirmCancellation(l.id, request)
+	}
+	return l.response()
+}
+
 // response returns the response to a status request.
 func (l lookup) response() transport.Response {
 	switch l.outcome {
--- a/internal/api/status.go
+++ b/internal/api/status.go
@@ -12,18 +12,18 @@
 		return
 	}
 	if state, ok := h.cachedResult(id); ok {
-		respond(lookup{id: id, outcome: foundResult, state: state}.response())
+		respond(h.answer(lookup{id: id, outcome: foundResult, state: state}, requestStatus))
 		return
 	}
 	if job := h.mirror.Jobs[id]; job != nil && !job.IsOpen() {
-		respond(lookup{id: id, outcome: foundInMirror, job: job}.response())
+		respond(h.answer(lookup{id: id, outcome: foundInMirror, job: job}, requestStatus))
 		return
 	}
 	if rejection := h.rejectIfUnavailable(); rejection != nil {
 		respond(rejection.response())
 		return
 	}
-	h.lookUp(id, func(l lookup) { respond(l.response()) })
+	h.lookUp(id, func(l lookup) { respond(h.answer(l, requestStatus)) })
 }
 
 // Health handles a health check. A controller is unhealthy if it can't handle requests while other
--- a/internal/api/submission.go
+++ b/internal/api/submission.go
@@ -23,7 +23,7 @@
 	}
 	id := submission.ID
 	if state, ok := h.cachedResult(id); ok {
-		respond(lookup{id: id, outcome: foundResult, state: state}.response())
+		respond(h.answer(lookup{id: id, outcome: foundResult, state: state}, requestSubmission))
 		return
 	}
 	if malformed != nil {
@@ -77,7 +77,7 @@
 			respond(fallback)
 			return
 		}
-		respond(l.response())
+		respond(h.answer(l, requestSubmission))
 	})
 }
 
@@ -187,7 +187,7 @@
 		respond(acceptedResponse(id))
 		h.placeNow()
 	case protocol.Conflict:
-		h.lookUp(id, func(l lookup) { respond(l.response()) })
+		h.lookUp(id, func(l lookup) { respond(h.answer(l, requestSubmission)) })
 	case protocol.Rejected:
 		h.log.Error("job acceptance rejected by state service", "job", id)
 		respond(h.deferRequest(transport.StatusUnavailable, "not kept").response())
--- a/internal/architecture/layers_test.go
+++ b/internal/architecture/layers_test.go
@@ -45,7 +45,8 @@
 // that it imports.
 var layers = [][]row{
 	{{path: "internal/monotime"}, {path: "internal/mapentry"}, {path: "internal/logging"},
-		{path: "internal/architecture"}, {path: "internal/knownred"}, {path: "internal/fixtures", kind: fake},
+		{path: "internal/architecture"}, {path: "internal/knownred"}, {path: "internal/invariant"},
+		{path: "internal/fixtures", kind: fake},
 		{path: "internal/peerwire/cancellation"}},
 	{{path: "internal/sortedmap"}, {path: "internal/peerwire"}},
 	{{path: "internal/config"}, {path: "internal/transport"}},
--- a/internal/cancellation/relay.go
+++ b/internal/cancellation/relay.go
@@ -17,6 +17,18 @@
 	Revision uint64 // of the commit
 }
 
+// Source is how a controller learned of a committed cancellation, as logged.
+type Source string
+
+// The sources of knowledge about cancellations.
+const (
+	SourceOwnCommit Source = "own commit"
+	SourceWatch     Source = "watch"
+	SourceLoad      Source = "load"
+	SourceRead      Source = "single read"
+	SourcePeer      Source = "peer round"
+)
+
 // RoundMessage is one message of a round. The messages of a round together contain every committed
 // cancellation that the sender knows, above the mirror revision that the receiver last reported.
 type RoundMessage struct {
@@ -47,19 +59,36 @@
 	round           uint64
 	commitRevisions map[string]uint64 // of the known cancellations, by job id
 	peers           map[string]*peerState
+	peerNames       []string
 }
 
 // NewRelay starts the exchange between a controller's current incarnation and the named peers.
 func NewRelay(incarnation uint64, peers []string) *Relay {
-	r := &Relay{incarnation: incarnation, commitRevisions: map[string]uint64{}, peers: map[string]*peerState{}}
+	r := &Relay{
+		incarnation:     incarnation,
+		commitRevisions: map[string]uint64{},
+		peers:           map[string]*peerState{},
+		peerNames:       peers,
+	}
 	for _, name := range peers {
 		r.peers[name] = &peerState{}
 	}
 	return r
 }
 
-// Add adds a committed cancellation. The caller must add it before any user gets an answer that confirms it.
-func (r *Relay) Add(c Committed) { r.commitRevisions[c.Job] = c.Revision }
+// Add adds a committed cancellation, and reports whether it was unknown. The caller must add it before any
+// user gets an answer that confirms it.
+func (r *Relay) Add(c Committed) (added bool) {
+	_, known := r.commitRevisions[c.Job]
+	r.commitRevisions[c.Job] = c.Revision
+	return !known
+}
+
+// RevisionOf returns the commit revision of a job's cancellation; known is false if the relay doesn't hold it.
+func (r *Relay) RevisionOf(job string) (revision uint64, known bool) {
+	revision, known = r.commitRevisions[job]
+	return revision, known
+}
 
 // Forget removes the cancellation of a job that has no tasks left on any machine.
 func (r *Relay) Forget(job string) { delete(r.commitRevisions, job) }
@@ -115,7 +144,7 @@
 }
 
 // Receive processes a peer's message and returns the cancellations in it that were unknown before. The caller
-// must act on them before it calls ConfirmedUntil again.
+// must act on them before it calls Knowledge again.
 func (r *Relay) Receive(peerName string, m RoundMessage) []Committed {
 	peer := r.peers[peerName]
 	if peer == nil {
@@ -157,17 +186,34 @@
 	return p.receivedInRound == m.MessagesInRound
 }
 
-// ConfirmedUntil returns the time, by this controller's clock, up to which this controller knows every
-// cancellation that any controller has confirmed to a user.
+// Knowledge is the time up to which a controller knows every confirmed cancellation, and where it comes from.
+// All times are by this controller's clock.
+type Knowledge struct {
+	Until         monotime.Micros // the later one of MirrorFreshAt and PeersUntil
+	MirrorFreshAt monotime.Micros // when the request was sent that last brought the mirror up to date
+	PeersUntil    monotime.Micros // the earliest time over all peers
+	EarliestPeer  string          // the peer with that time; "" without peers
+}
+
+// Knowledge returns up to which time this controller knows every cancellation that any controller has
+// confirmed to a user.
 //
 // mirrorFreshAt is when this controller sent the request that last brought its mirror up to date: the mirror
 // contains everything that was committed before. A peer's complete round contains everything that the peer
 // had confirmed when it created the round. The peer created the round after it received the clock reading
 // that the round echoes.
-func (r *Relay) ConfirmedUntil(mirrorFreshAt, now monotime.Micros) monotime.Micros {
-	knownFromPeers := now
-	for _, peer := range r.peers {
-		knownFromPeers = min(knownFromPeers, peer.knownUntil)
+func (r *Relay) Knowledge(mirrorFreshAt, now monotime.Micros) Knowledge {
+	known := Knowledge{MirrorFreshAt: mirrorFreshAt, PeersUntil: now}
+	for _, name := range r.peerNames {
+		if peer := r.peers[name]; known.EarliestPeer == "" || peer.knownUntil < known.PeersUntil {
+			known.PeersUntil, known.EarliestPeer = peer.knownUntil, name
+		}
 	}
-	return max(mirrorFreshAt, knownFromPeers)
+	known.Until = max(mirrorFreshAt, known.PeersUntil)
+	return known
+}
+
+// ConfirmedUntil returns the time of Knowledge.
+func (r *Relay) ConfirmedUntil(mirrorFreshAt, now monotime.Micros) monotime.Micros {
+	return r.Knowledge(mirrorFreshAt, now).Until
 }
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -8,10 +8,12 @@
 	"pipitgap/internal/agents"
 	"pipitgap/internal/api"
 	"pipitgap/internal/autoscaling/scalein"
+	"pipitgap/internal/cancellation"
 	"pipitgap/internal/catalog"
 	"pipitgap/internal/config"
 	"pipitgap/internal/drain/drainer"
 	"pipitgap/internal/durations"
+	"pipitgap/internal/invariant"
 	"pipitgap/internal/jobs"
 	"pipitgap/internal/membership"
 	"pipitgap/internal/mirror"
@@ -73,6 +75,7 @@
 
 	drains        *drainer.Drainer // nil if the settings do not enable drains
 	counters      activityCounters
+	invariants    *invariant.Recorder
 	store         *storeclient.Client
 	replica       *mirror.Replica
 	membership    *membership.Membership
@@ -105,6 +108,7 @@
 		peerStatuses:         peers.NewTable(storeclient.WaitingUserCallsThreshold),
 		recordWritesInFlight: recordWrites{},
 	}
+	c.invariants = invariant.NewRecorder(log)
 	c.mirror = mirror.New()
 	c.store = newStoreClient(c)
 	c.pauses = reachability.NewPauseDetector(log)
@@ -215,7 +219,7 @@
 }
 
 // onMirrorChange notifies the components that a change of the mirror affects.
-func (c *Controller) onMirrorChange(kind storage.Kind, name string) {
+func (c *Controller) onMirrorChange(kind storage.Kind, name string, ownCommit bool) {
 	switch kind {
 	case storage.KindOpenJob:
 		c.scheduler.RequestPass()
@@ -227,7 +231,7 @@
 		}
 		c.scheduler.RecordJobChange(name)
 	case storage.KindJobResult:
-		c.cancellations.Record(c.mirror.Jobs[name])
+		c.cancellations.Record(c.mirror.Jobs[name], sourceOfChange(ownCommit))
 		if job := c.mirror.Jobs[name]; job != nil && job.AssignedTasks > 0 {
 			c.scheduler.RecordFinalResultSeen(name)
 			c.agents.SyncCommandsOfJob(job) // sends a cancellation to the workers immediately
@@ -241,3 +245,11 @@
 		c.membership.HandleMemberChange(name)
 	}
 }
+
+// sourceOfChange returns how a cancellation in a changed record of the mirror became known.
+func sourceOfChange(ownCommit bool) cancellation.Source {
+	if ownCommit {
+		return cancellation.SourceOwnCommit
+	}
+	return cancellation.SourceWatch
+}
--- a/internal/coordination/simulated_cluster_test.go
+++ b/internal/coordination/simulated_cluster_test.go
@@ -122,9 +122,20 @@
 	c.cloud.OnMachineGone = c.fleet.MachineDown
 	c.fleet.SendHeartbeat = c.sendHeartbeat
 	c.addControllers()
+	t.Cleanup(c.requireNoViolatedInvariant)
 	return c
 }
 
+// requireNoViolatedInvariant fails a test that does not look at the violations itself if a controller has
+// reported one.
+func (c *cluster) requireNoViolatedInvariant() {
+	for _, violation := range c.checker.Violations {
+		if violation.Invariant == ControllerInvariant {
+			c.t.Error(violation)
+		}
+	}
+}
+
 // addControllers adds a controller for each of nodeNames. It does not start them.
 func (c *cluster) addControllers() {
 	for _, node := range c.nodeNames {
@@ -166,8 +177,8 @@
 		if os.Getenv("PIPITGAP_TEST_LOG") != "" {
 			out = os.Stderr
 		}
-		log := slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: slog.LevelDebug})).
-			With("controller", name)
+		handler := slog.NewTextHandler(out, &slog.HandlerOptions{Level: slog.LevelDebug})
+		log := slog.New(violationHandler{handler, c}).With("controller", name)
 		node.controller = NewController(c.nodeConfig(name), c.settings, env, log)
 		node.controller.Start()
 	}
--- a/internal/coordination/summary.go
+++ b/internal/coordination/summary.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"log/slog"
+
+	"pipitgap/internal/cancellation"
 )
 
 // activityCounters counts events since the start of the process, for Summary.
@@ -76,6 +78,24 @@
 	return totals
 }
 
+// cancellationCounts returns the counts of the cancellations that this controller has learned and confirmed, of
+// its lease renewals and commands, and of violated invariants.
+func (c *Controller) cancellationCounts() string {
+	agents := c.agents.Counters()
+	return fmt.Sprintf(
+		" known_own %d known_watch %d known_load %d known_read %d known_peer %d confirmed %d"+
+			" renewed %d refused %d kills %d runs %d direct_failed %d violations %d",
+		c.cancellations.Learned(cancellation.SourceOwnCommit),
+		c.cancellations.Learned(cancellation.SourceWatch),
+		c.cancellations.Learned(cancellation.SourceLoad),
+		c.cancellations.Learned(cancellation.SourceRead),
+		c.cancellations.Learned(cancellation.SourcePeer),
+		c.api.Counters().CancellationsConfirmed,
+		agents.LeasesRenewed, agents.LeasesRefused, agents.KillsSent, agents.RunsSent, agents.DirectFailures,
+		c.invariants.Violations(),
+	)
+}
+
 // Summary returns a one-line summary of the controller and the cluster for the log.
 func (c *Controller) Summary() string {
 	totals := c.clusterTotals()
@@ -89,6 +109,7 @@
 		c.counters.tasksPlaced, c.jobs.Completed(),
 		c.replica.CommitConflicts(), c.store.ThrottledCalls(),
 	)
+	summary += c.cancellationCounts()
 	if c.drains != nil {
 		summary += fmt.Sprintf(" permit_writes %d", c.counters.permitWrites)
 	}
--- a/internal/coordination/wiring_agents.go
+++ b/internal/coordination/wiring_agents.go
@@ -25,6 +25,7 @@
 			Shards:        agentShards{c},
 			Scheduler:     agentScheduler{c},
 			Cancellations: c.cancellations,
+			Invariants:    c.invariants,
 			IsCordoned:    func(machine *mirror.Machine) bool { return c.drains.IsCordoned(machine) },
 			Log:           c.log,
 		},
--- a/internal/coordination/wiring_requests.go
+++ b/internal/coordination/wiring_requests.go
@@ -23,6 +23,7 @@
 		Scheduler:     userScheduler{c},
 		PlaceNow:      func() { c.runFastTick(c.now()) },
 		Cancellations: c.cancellations,
+		Invariants:    c.invariants,
 		MaxValueBytes: c.maxValueBytes(),
 	})
 }
--- a/internal/membership/leader.go
+++ b/internal/membership/leader.go
@@ -42,7 +42,7 @@
 	m.replica.Commit(ratelimit.PriorityLease, txn, func(result protocol.StoreResult) {
 		m.electionInFlight = false
 		if result.Outcome == protocol.OK {
-			m.log.Info("leader elected", "term", result.Revision)
+			m.log.Info("leader elected", "term", result.Revision, "incarnation", m.incarnation)
 		}
 	})
 }
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -34,7 +34,7 @@
 	ownDeletions      map[string]uint64       // by key: revision of an own deletion ahead of the watch
 	Results           *ResultCache
 
-	onChange          func(kind storage.Kind, name string)
+	onChange          func(kind storage.Kind, name string, ownCommit bool)
 	onMachineReleased func(id string)
 	generation        int // number of calls of Replace
 }
@@ -65,14 +65,18 @@
 		PermitsByTeam:     map[string]PermitsEntry{},
 		ownDeletions:      map[string]uint64{},
 		Results:           NewResultCache(resultCacheCapacity),
-		onChange:          func(storage.Kind, string) {},
+		onChange:          func(storage.Kind, string, bool) {},
 		onMachineReleased: func(string) {},
 	}
 }
 
 // Observe sets two callbacks: onChange is called after each change of a record, onMachineReleased when the
-// shard that held a machine no longer does. Replace keeps both callbacks.
-func (m *Mirror) Observe(onChange func(kind storage.Kind, name string), onMachineReleased func(id string)) {
+// shard that held a machine no longer does. ownCommit reports whether this controller's own commit, and not a
+// watch, has brought the change. Replace keeps both callbacks.
+func (m *Mirror) Observe(
+	onChange func(kind storage.Kind, name string, ownCommit bool),
+	onMachineReleased func(id string),
+) {
 	m.onChange, m.onMachineReleased = onChange, onMachineReleased
 }
 
@@ -156,7 +160,7 @@
 	}
 	for i := range changes {
 		m.applyChange(&changes[i])
-		m.onChange(changes[i].kind, changes[i].name)
+		m.onChange(changes[i].kind, changes[i].name, ownCommit)
 	}
 }
 
--- a/internal/mirror/records_test.go
+++ b/internal/mirror/records_test.go
@@ -139,7 +139,7 @@
 				m.ApplyPut(key, protocol.MustMarshal(&storage.Member{Incarnation: 1}), 7)
 			}
 			changes := 0
-			m.Observe(func(storage.Kind, string) { changes++ }, func(string) {})
+			m.Observe(func(storage.Kind, string, bool) { changes++ }, func(string) {})
 			m.ApplyDelete(key, tc.version, false)
 			if changes != tc.changes {
 				t.Errorf("deletion at version %d: got %d changes, want %d", tc.version, changes, tc.changes)
--- a/internal/mirror/watch.go
+++ b/internal/mirror/watch.go
@@ -156,6 +156,10 @@
 		r.watch.lastSuccessAt = sentAt // the response may have arrived long ago, while the process was paused
 	}
 	r.mirror.ApplyEvents(result.Events, result.Revision)
+	if len(result.Events) > 0 {
+		r.log.Debug("watch applied", "revision", result.Revision, "events", len(result.Events),
+			"waited_ms", (r.env.Now() - sentAt).Milliseconds())
+	}
 	if !r.ready && r.mirror.WatchedRevision >= r.loadedRevision {
 		r.markReady()
 	}
--- a/internal/shards/fakes_test.go
+++ b/internal/shards/fakes_test.go
@@ -72,7 +72,7 @@
 			Log:         slog.New(slog.DiscardHandler),
 		},
 	)
-	h.mirror.Observe(func(kind storage.Kind, name string) {
+	h.mirror.Observe(func(kind storage.Kind, name string, _ bool) {
 		if kind == storage.KindShard {
 			h.m.HandleShardChange(name)
 		}
