A cancellation read from the state service is learned before it is confirmed

What callers saw: a task of a cancelled job on its machine more than cancel_s after a user was told that the job is cancelled.

Cause: a controller that looks up a job it doesn't have in its mirror reads the result from the state service. It put the result into the cache of results and confirmed the cancellation. Nothing recorded it for the exchange between controllers, and nothing gave it to the mirror: not even if the job's open record had arrived in the meantime and the controller itself owned the machine. Its rounds then proved to the others, and its own answers to its own workers, that nothing was cancelled. If an outage begins before the next watch answers, leases are renewed throughout.

Fix: readResult calls Cancellations.Learn, which adds the cancellation to the exchange and to the mirror, before the answer. The cache keeps the result's revision. A job whose open record reaches the mirror after its cancellation gets it from the exchange (ApplyTo), also when the cache has evicted it or the mirror was loaded anew. A cancellation that the exchange lacks is not confirmed: 503 and a violation.

--- a/internal/agents/cancellations.go
+++ b/internal/agents/cancellations.go
@@ -83,9 +83,30 @@
 // stop the job's tasks, and users see the result. It must be called before any user receives an answer that
 // confirms the cancellation.
 func (cs *Cancellations) Learn(committed cancellation.Committed, source cancellation.Source) {
+	job, ahead := cs.mirror.Jobs[committed.Job], committed.Revision > cs.mirror.WatchedRevision
+	if job == nil && !ahead {
+		return // the mirror has passed the cancellation and the end of everything that the job had on machines
+	}
 	if cs.relay.Add(committed) {
 		cs.note(committed, source)
 	}
+	if ahead && (job == nil || job.IsOpen()) && !cs.appliedWithoutJob(committed.Job, job) {
+		cs.apply(committed)
+	}
+}
+
+// appliedWithoutJob reports whether the mirror already contains the result of a job that it has no open record
+// of.
+func (cs *Cancellations) appliedWithoutJob(id string, job *mirror.Job) bool {
+	_, cached := cs.mirror.Results.Get(id)
+	return job == nil && cached
+}
+
+// ApplyTo gives a job whose open record has just reached the mirror the cancellation that became known before.
+func (cs *Cancellations) ApplyTo(job *mirror.Job) {
+	if revision, known := cs.relay.RevisionOf(job.ID); known && job.IsOpen() {
+		cs.apply(cancellation.Committed{Job: job.ID, Revision: revision})
+	}
 }
 
 // note counts and logs a cancellation that has just become known.
--- a/internal/agents/cancellations_test.go
+++ b/internal/agents/cancellations_test.go
@@ -7,6 +7,7 @@
 	"pipitgap/internal/cancellation"
 	"pipitgap/internal/mirror"
 	"pipitgap/internal/monotime"
+	"pipitgap/internal/protocol"
 	"pipitgap/internal/storage"
 )
 
@@ -75,3 +76,63 @@
 		t.Errorf("after Forget: got messages %+v, want the first without cancellations", messages)
 	}
 }
+
+// TestOpenRecordAfterCancellationIsCancelled guards against a job that runs because its open record reaches
+// the mirror after its cancellation, which was evicted from the cache of results or lost in a reload.
+func TestOpenRecordAfterCancellationIsCancelled(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		forget func(replica *mirror.Mirror)
+	}{
+		{"result in the cache", func(*mirror.Mirror) {}},
+		{"result evicted", func(replica *mirror.Mirror) { replica.Results = mirror.NewResultCache(1) }},
+		{"mirror reloaded", func(replica *mirror.Mirror) { replica.Replace(mirror.New(), 20, 20) }},
+	} {
+		replica := mirror.New()
+		replica.WatchedRevision = 20
+		cs := newTestCancellations(replica, 0)
+		cs.Learn(cancellation.Committed{Job: testTask.Job, Revision: 25}, cancellation.SourcePeer)
+		tc.forget(replica)
+		replica.ApplyPut(storage.OpenJobKey(testTask.Job), protocol.MustMarshal(&storage.OpenJob{
+			Spec: storage.JobSpec{Tasks: 1, CPUs: 1},
+		}), 22)
+		cs.ApplyTo(replica.Jobs[testTask.Job])
+		if job := replica.Jobs[testTask.Job]; job.FinalState != storage.JobCancelled || job.FinalRevision != 25 {
+			t.Errorf("%s: got final state %q of revision %d, want cancelled of 25",
+				tc.name, job.FinalState, job.FinalRevision)
+		}
+	}
+}
+
+// TestReadCancellationReachesMirrorAndPeers guards against a cancellation that was read from the state service
+// and is known only to the cache of results.
+func TestReadCancellationReachesMirrorAndPeers(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		revision uint64
+		open     bool // the mirror has an open record of the job
+		held     bool
+	}{
+		{"newer than the mirror", 25, true, true},
+		{"newer than the mirror, before the open record", 25, false, true},
+		{"the mirror has passed it, nothing is left of the job", 20, false, false},
+	} {
+		replica := mirror.New()
+		if tc.open {
+			replica, _ = newMirrorWithAttempt(t, storage.JobSpec{})
+		}
+		replica.WatchedRevision = 20
+		cs := newTestCancellations(replica, 0)
+		cs.Learn(cancellation.Committed{Job: testTask.Job, Revision: tc.revision}, cancellation.SourceRead)
+		replica.Results.Add(testTask.Job, mirror.Result{State: storage.JobCancelled, Revision: tc.revision})
+		if cs.Holds(testTask.Job) != tc.held {
+			t.Errorf("%s: got part of the exchange %v, want %v", tc.name, !tc.held, tc.held)
+		}
+		if job := replica.Jobs[testTask.Job]; job != nil && job.IsOpen() {
+			t.Errorf("%s: the job is open in the mirror, want cancelled", tc.name)
+		}
+		if !cs.MayConfirm(testTask.Job) {
+			t.Errorf("%s: the cancellation may not be confirmed, want that it may", tc.name)
+		}
+	}
+}
--- a/internal/api/cancellation.go
+++ b/internal/api/cancellation.go
@@ -69,19 +69,23 @@
 // answerEnded returns the response to a cancellation of a job that has a result.
 func (h *Handler) answerEnded(id string, state storage.JobState) transport.Response {
 	if state == storage.JobCancelled {
-		h.confirmCancellation(id, requestCancellation)
+		if rejection := h.confirmCancellation(id, requestCancellation); rejection != nil {
+			return rejection.response()
+		}
 	}
 	return endedResponse(id, state)
 }
 
-// confirmCancellation logs and counts that a user is told that a job is cancelled. Every such answer passes
+// confirmCancellation decides whether a user may be told that a job is cancelled. Every such answer passes
 // through it.
-func (h *Handler) confirmCancellation(id string, request requestKind) {
+func (h *Handler) confirmCancellation(id string, request requestKind) *Rejection {
 	if !h.cancellations.MayConfirm(id) {
 		h.invariants.Violated(invariant.ConfirmedIsExchanged, "job", id, "request", string(request))
+		return h.deferRequest(transport.StatusUnavailable, reasonJobChanging)
 	}
 	h.counters.CancellationsConfirmed++
 	h.log.Debug("cancellation confirmed", "job", id, "request", string(request))
+	return nil
 }
 
 // answerEndedJob responds to a cancellation that conflicted with an earlier result of the job.
--- a/internal/api/cancellation_test.go
+++ b/internal/api/cancellation_test.go
@@ -4,8 +4,10 @@
 	"cmp"
 	"testing"
 
+	"pipitgap/internal/cancellation"
 	"pipitgap/internal/protocol"
 	"pipitgap/internal/storage"
+	"pipitgap/internal/transport"
 )
 
 // TestCancel checks the response to a cancellation, the number of commits, and that only a committed
@@ -86,3 +88,50 @@
 		})
 	}
 }
+
+// TestReadCancellationIsLearnedBeforeAnswer guards against a cancellation that is read from the state service
+// and confirmed, but not forwarded to the other controllers.
+func TestReadCancellationIsLearnedBeforeAnswer(t *testing.T) {
+	requests := map[string]func(h *Handler, respond Respond){
+		"status":              func(h *Handler, respond Respond) { h.Status(newJobID, respond) },
+		"cancellation":        func(h *Handler, respond Respond) { h.Cancel(newJobID, respond) },
+		"repeated submission": func(h *Handler, respond Respond) { h.Submit(newSubmission(nil), respond) },
+	}
+	for name, request := range requests {
+		t.Run(name, func(t *testing.T) {
+			d := newFakeDependencies()
+			d.commitOutcome = protocol.Conflict // of the submission
+			d.putRecord(storage.KindJobResult, newJobID, &storage.JobResult{State: storage.JobCancelled})
+			learned := -1
+			request(d.handler(), func(transport.Response) { learned = len(d.cancelled) })
+			want := cancellation.Committed{Job: newJobID, Revision: recordVersion}
+			if learned != 1 || d.cancelled[0] != want || d.sources[0] != cancellation.SourceRead {
+				t.Errorf("at the answer: got %d learned cancellations %v from %v, want %v from a read",
+					learned, d.cancelled, d.sources, want)
+			}
+		})
+	}
+}
+
+// TestUnexchangedCancellationIsNotConfirmed guards against confirming a cancellation that the exchange between
+// controllers lacks.
+func TestUnexchangedCancellationIsNotConfirmed(t *testing.T) {
+	d := newFakeDependencies()
+	d.unexchanged = true
+	d.cacheResult(newJobID, storage.JobCancelled)
+	h := d.handler()
+	for _, request := range []func(respond Respond){
+		func(respond Respond) { h.Status(newJobID, respond) },
+		func(respond Respond) { h.Cancel(newJobID, respond) },
+		func(respond Respond) { h.Submit(newSubmission(nil), respond) },
+	} {
+		request(func(response transport.Response) {
+			if response.Status != transport.StatusUnavailable || response.RetryAfter == 0 {
+				t.Errorf("got status %d, want 503 with a delay", response.Status)
+			}
+		})
+	}
+	if violations := h.invariants.Violations(); violations != 3 {
+		t.Errorf("got %d violations, want 3", violations)
+	}
+}
--- a/internal/api/fakes_test.go
+++ b/internal/api/fakes_test.go
@@ -45,7 +45,9 @@
 	accepted  map[string]uint64
 	cancelled []cancellation.Committed
 	sources   []cancellation.Source // of cancelled
-	placed    int
+	// no cancellation is part of the exchange between controllers
+	unexchanged bool
+	placed      int
 }
 
 func newFakeDependencies() *fakeDependencies {
@@ -104,6 +106,9 @@
 	})
 }
 
+// recordVersion is the version of the records that reads return.
+const recordVersion = 11
+
 func (d *fakeDependencies) Now() monotime.Micros { return d.now }
 func (d *fakeDependencies) WallClock() int64     { return int64(d.now) }
 func (d *fakeDependencies) Rand() *rand.Rand     { return d.random }
@@ -122,7 +127,8 @@
 	case d.callOutcome != protocol.OK:
 		callback(protocol.StoreResult{Outcome: d.callOutcome})
 	case ok:
-		callback(protocol.StoreResult{Outcome: protocol.OK, Item: protocol.KeyValue{Value: value}})
+		item := protocol.KeyValue{Value: value, Version: recordVersion}
+		callback(protocol.StoreResult{Outcome: protocol.OK, Item: item})
 	default:
 		callback(protocol.StoreResult{Outcome: protocol.NotFound})
 	}
@@ -182,12 +188,12 @@
 func (d *fakeDependencies) Learn(cancelled cancellation.Committed, source cancellation.Source) {
 	d.cancelled, d.sources = append(d.cancelled, cancelled), append(d.sources, source)
 }
-func (d *fakeDependencies) MayConfirm(string) bool { return true }
+func (d *fakeDependencies) MayConfirm(string) bool { return !d.unexchanged }
 func (d *fakeDependencies) putRecord(kind storage.Kind, id string, value any) {
 	d.records[storage.Key(kind, id)] = protocol.MustMarshal(value)
 }
 func (d *fakeDependencies) cacheResult(id string, state storage.JobState) {
-	d.mirror.Results.Add(id, state)
+	d.mirror.Results.Add(id, mirror.Result{State: state})
 }
 
 // cacheResultOnCommit adds a job's result to the cache during a commit, as if the job ended at that time.
--- a/internal/api/lookup.go
+++ b/internal/api/lookup.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"pipitgap/internal/cancellation"
 	"pipitgap/internal/mirror"
 	"pipitgap/internal/protocol"
 	"pipitgap/internal/ratelimit"
@@ -54,7 +55,9 @@
 // answer returns the response to a request from a lookup.
 func (h *Handler) answer(l lookup, request requestKind) transport.Response {
 	if l.cancelled() {
-		h.confirmCancellation(l.id, request)
+		if rejection := h.confirmCancellation(l.id, request); rejection != nil {
+			return rejection.response()
+		}
 	}
 	return l.response()
 }
@@ -93,7 +96,10 @@
 }
 
 // cachedResult returns a job's result from the result cache.
-func (h *Handler) cachedResult(id string) (storage.JobState, bool) { return h.mirror.Results.Get(id) }
+func (h *Handler) cachedResult(id string) (storage.JobState, bool) {
+	result, ok := h.mirror.Results.Get(id)
+	return result.State, ok
+}
 
 // lookUp waits until the mirror is as new as the request, and then looks up the job there and in the result
 // cache. A job that is in neither has ended or was never accepted; lookUp then reads the state service.
@@ -136,21 +142,24 @@
 
 // readResult reads a job's result from the state service, or calls missing if there is none.
 func (h *Handler) readResult(id string, callback func(lookup), missing func()) {
-	h.readRecord(storage.KindJobResult, id, callback, missing, func(value protocol.Raw) {
+	h.readRecord(storage.KindJobResult, id, callback, missing, func(item protocol.KeyValue) {
 		var result storage.JobResult
-		if protocol.Unmarshal(value, &result) != nil {
+		if protocol.Unmarshal(item.Value, &result) != nil {
 			rejection := h.deferRequest(transport.StatusUnavailable, "final state can't be read")
 			callback(failedLookup(id, rejection))
 			return
 		}
-		h.mirror.Results.Add(id, result.State)
+		if result.State == storage.JobCancelled {
+			h.cancellations.Learn(cancellation.Committed{Job: id, Revision: item.Version}, cancellation.SourceRead)
+		}
+		h.mirror.Results.Add(id, mirror.Result{State: result.State, Revision: item.Version})
 		callback(lookup{id: id, outcome: foundResult, state: result.State})
 	})
 }
 
 // readOpenRecord reads a job's open record from the state service, or calls missing if there is none.
 func (h *Handler) readOpenRecord(id string, callback func(lookup), missing func()) {
-	h.readRecord(storage.KindOpenJob, id, callback, missing, func(protocol.Raw) {
+	h.readRecord(storage.KindOpenJob, id, callback, missing, func(protocol.KeyValue) {
 		callback(lookup{id: id, outcome: foundOpenRecord})
 	})
 }
@@ -162,13 +171,13 @@
 	id string,
 	callback func(lookup),
 	missing func(),
-	found func(protocol.Raw),
+	found func(protocol.KeyValue),
 ) {
 	call := &protocol.StoreCall{Op: protocol.StoreGet, Key: storage.Key(kind, id)}
 	h.store.Call(ratelimit.PriorityUserRequest, call, func(result protocol.StoreResult) {
 		switch result.Outcome {
 		case protocol.OK:
-			found(result.Item.Value)
+			found(result.Item)
 		case protocol.NotFound:
 			missing()
 		default:
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -229,6 +229,7 @@
 			c.cancellations.Forget(name)
 			return
 		}
+		c.cancellations.ApplyTo(job)
 		c.scheduler.RecordJobChange(name)
 	case storage.KindJobResult:
 		c.cancellations.Record(c.mirror.Jobs[name], sourceOfChange(ownCommit))
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -158,12 +158,12 @@
 		)
 	}
 	for i := 0; i < 200_000; i++ {
-		mr.Results.Add(fmt.Sprintf("j-%09d", i), storage.JobDone)
+		mr.Results.Add(fmt.Sprintf("j-%09d", i), Result{State: storage.JobDone})
 	}
 	if used := measure() - before; used > 64<<20 {
 		t.Errorf("mirror with %d open jobs: got %d MB of heap, want at most 64", MaxOpenJobs, used>>20)
 	}
-	if n := len(mr.Results.finalStates); n > mr.Results.capacity*9/8 || len(mr.Results.insertionOrder) != n {
+	if n := len(mr.Results.results); n > mr.Results.capacity*9/8 || len(mr.Results.insertionOrder) != n {
 		t.Errorf("result cache: got %d states and %d insertion entries, want equal numbers, at most %d",
 			n, len(mr.Results.insertionOrder), mr.Results.capacity*9/8)
 	}
--- a/internal/mirror/records.go
+++ b/internal/mirror/records.go
@@ -141,7 +141,7 @@
 	if !ok {
 		return
 	}
-	m.Results.Add(id, result.State)
+	m.Results.Add(id, Result{result.State, event.Version})
 	if job := m.Jobs[id]; job != nil {
 		job.FinalState, job.FinalRevision = result.State, event.Version
 	}
@@ -168,7 +168,9 @@
 		TaskStates:    make([]uint8, tasks),
 		TaskResources: TaskResources(&record.Spec),
 	}
-	job.FinalState, _ = m.Results.Get(id)
+	if result, ok := m.Results.Get(id); ok {
+		job.FinalState, job.FinalRevision = result.State, result.Revision
+	}
 	m.Jobs[id] = job
 	for _, shard := range m.Shards { // shards with tasks of the job may have been applied before this record
 		m.countJobOfShard(shard, id, 1)
--- a/internal/placement/failure_attribution.go
+++ b/internal/placement/failure_attribution.go
@@ -27,7 +27,7 @@
 func (sc *Scheduler) AttributeFailures(id string) scheduling.Attribution {
 	job := sc.deps.Mirror.Jobs[id]
 	if job == nil {
-		if status, ok := sc.deps.Mirror.Results.Get(id); ok && status == storage.JobDone {
+		if result, ok := sc.deps.Mirror.Results.Get(id); ok && result.State == storage.JobDone {
 			return scheduling.MachineAtFault
 		}
 		return scheduling.JobAtFault // cancelled, or no longer recorded: no evidence against a machine
--- a/internal/placement/failure_attribution_test.go
+++ b/internal/placement/failure_attribution_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"pipitgap/internal/agents"
+	"pipitgap/internal/mirror"
 	"pipitgap/internal/scheduling"
 	"pipitgap/internal/storage"
 	"pipitgap/internal/storage/storagetest"
@@ -21,8 +22,8 @@
 	mr.ApplyPut(storage.OpenJobKey("new"), storagetest.OpenJob(4), next)
 	mr.ApplyPut(storage.OpenJobKey("here"), storagetest.OpenJob(4), next)
 	mr.ApplyPut(storage.OpenJobKey("others"), storagetest.OpenJob(4), next)
-	mr.Results.Add("ended", storage.JobDone)
-	mr.Results.Add("dropped", storage.JobCancelled)
+	mr.Results.Add("ended", mirror.Result{State: storage.JobDone})
+	mr.Results.Add("dropped", mirror.Result{State: storage.JobCancelled})
 	for _, id := range []string{"i-1", "i-2", "i-3"} {
 		c.scheduler.trackingOf("here").failures.Record(id, 0)
 	}
