--- a/internal/fake/loopback/deployment.go
+++ b/internal/fake/loopback/deployment.go
@@ -29,6 +29,8 @@
 	CancelWithin      monotime.Micros
 	StateRPS          float64
 	StateWriteRPS     float64
+	Directory         string // holds configuration and logs; "": a temporary directory that ends with the test
+	LogLevel          string // of the controllers; "": as in the environment
 }
 
 // Deployment runs controllers as processes, and fakes of all services that they call.
@@ -51,8 +53,13 @@
 	cloudServer   *Server
 	injector      *faultInjector
 	workerServers []*Server
+	peerProxies   map[peerPair]*peerProxy
+	heartbeats    *heartbeatSender
 }
 
+// peerPair is the sender and the receiver of messages between controllers.
+type peerPair struct{ from, to string }
+
 // NewDeployment creates a deployment and starts its controllers. It stops everything when the test ends.
 func NewDeployment(t testing.TB, seed uint64, options Options) *Deployment {
 	t.Helper()
@@ -61,12 +68,16 @@
 		t:            t,
 		SimClock:     sim,
 		options:      options,
-		directory:    t.TempDir(),
+		directory:    options.Directory,
 		processes:    map[string]*Process{},
 		publicAddrs:  map[string]string{},
 		peerAddrs:    map[string]string{},
 		stateServers: map[string]*Server{},
 		injector:     &faultInjector{},
+		peerProxies:  map[peerPair]*peerProxy{},
+	}
+	if d.directory == "" {
+		d.directory = t.TempDir()
 	}
 	d.Checker = fake.NewChecker(sim, options.CancelWithin)
 	d.Store = fake.NewStateStore(sim, options.StateRPS, options.StateWriteRPS, maxTransactionOps)
@@ -83,6 +94,7 @@
 	for _, node := range d.Controllers {
 		d.publicAddrs[node], d.peerAddrs[node] = d.freeAddr(), d.freeAddr()
 	}
+	d.connectControllers()
 	for _, node := range d.Controllers {
 		d.processes[node] = &Process{}
 		d.StartController(node)
@@ -106,6 +118,34 @@
 	for _, s := range d.workerServers {
 		s.Close()
 	}
+	for _, proxy := range d.peerProxies {
+		proxy.close()
+	}
+}
+
+// connectControllers starts a proxy for the connections from each controller to each other one.
+func (d *Deployment) connectControllers() {
+	for _, from := range d.Controllers {
+		for _, to := range d.Controllers {
+			if from == to {
+				continue
+			}
+			proxy, err := newPeerProxy(func() string { return d.peerAddrs[to] })
+			if err != nil {
+				d.t.Fatal(err)
+			}
+			d.peerProxies[peerPair{from, to}] = proxy
+		}
+	}
+}
+
+// CutPeers begins or ends a cut of all connections between a controller and the others.
+func (d *Deployment) CutPeers(node string, cut bool) {
+	for pair, proxy := range d.peerProxies {
+		if pair.from == node || pair.to == node {
+			proxy.setCut(cut)
+		}
+	}
 }
 
 // serveFakes starts the servers of the state service and the cloud. The state service listens on a separate
@@ -135,12 +175,23 @@
 		}
 	}
 	d.Cloud.OnMachineGone = d.Fleet.MachineDown
-	sender := &heartbeatSender{
+	d.heartbeats = &heartbeatSender{
 		clock:   d.Clock,
 		clients: map[string]*transport.Client{},
 		addr:    func(node string) string { return d.publicAddrs[node] },
 	}
-	d.Fleet.SendHeartbeat = sender.send
+	d.Fleet.SendHeartbeat = d.heartbeats.send
+}
+
+// SetHeartbeatFaults sets a function that decides, for each heartbeat of a worker to a controller, whether it is
+// lost. It runs inside Clock.Do. nil removes it.
+func (d *Deployment) SetHeartbeatFaults(isLost func(worker *fake.Worker, node string, body []byte) bool) {
+	d.Clock.Do(func() { d.heartbeats.isLost = isLost })
+}
+
+// DeliverHeartbeatCopy sends a copy of an earlier heartbeat to a controller. Nobody gets the answer.
+func (d *Deployment) DeliverHeartbeatCopy(node string, body []byte) {
+	d.Clock.Do(func() { d.heartbeats.post(node, body, func(int, []byte) {}) })
 }
 
 func (d *Deployment) serve(caller string, handler http.Handler) *Server {
@@ -176,7 +227,7 @@
 		d.t.Fatal(err)
 	}
 	defer log.Close()
-	if err := d.processes[node].start(log, d.options.Binary, d.configFlags(node)...); err != nil {
+	if err := d.processes[node].start(log, d.options.LogLevel, d.options.Binary, d.configFlags(node)...); err != nil {
 		d.t.Fatal(err)
 	}
 }
--- a/internal/fake/loopback/deployment_config.go
+++ b/internal/fake/loopback/deployment_config.go
@@ -32,6 +32,15 @@
 	return args
 }
 
+// peerAddrOf returns the address at which a caller reaches a controller's peer port. Operators' commands are not
+// behind a proxy.
+func (d *Deployment) peerAddrOf(node, caller string) string {
+	if proxy := d.peerProxies[peerPair{caller, node}]; proxy != nil {
+		return proxy.addr()
+	}
+	return d.peerAddrs[node]
+}
+
 // writeConfig writes the platform configuration of a caller and returns the path of the file.
 func (d *Deployment) writeConfig(caller string) string {
 	cfg := config.Config{
@@ -46,7 +55,7 @@
 	for i, node := range d.Controllers {
 		if node != caller {
 			cfg.Peers = append(cfg.Peers, config.Peer{
-				Node: node, Zone: d.options.Zones[i%len(d.options.Zones)], Addr: d.peerAddrs[node],
+				Node: node, Zone: d.options.Zones[i%len(d.options.Zones)], Addr: d.peerAddrOf(node, caller),
 			})
 		}
 	}
--- a/internal/fake/loopback/process.go
+++ b/internal/fake/loopback/process.go
@@ -19,8 +19,9 @@
 // errAlreadyRunning is returned by Process.start if Kill has not ended the previous run.
 var errAlreadyRunning = errors.New("the process is already running")
 
-// start starts a program and redirects its output to a log file.
-func (p *Process) start(log *os.File, program string, args ...string) error {
+// start starts a program and redirects its output to a log file. An empty log level leaves the environment as
+// it is.
+func (p *Process) start(log *os.File, logLevel, program string, args ...string) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.cmd != nil {
@@ -28,6 +29,9 @@
 	}
 	cmd := exec.Command(program, args...)
 	cmd.Stdout, cmd.Stderr = log, log
+	if logLevel != "" {
+		cmd.Env = append(os.Environ(), "LOG_LEVEL="+logLevel)
+	}
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
 		return err
--- a/internal/fake/loopback/workers.go
+++ b/internal/fake/loopback/workers.go
@@ -31,7 +31,7 @@
 	gone := false
 	h.clock.Do(func() {
 		worker := h.fleet.ByEndpoint[h.endpoint()]
-		if gone = worker == nil || worker.Machine.Gone || worker.Partitioned; gone {
+		if gone = worker == nil || worker.Machine.Gone || worker.Partitioned; gone || worker.Deaf {
 			return
 		}
 		execute := func() { answered <- executeRequest(worker, request) }
@@ -45,7 +45,7 @@
 		resetConnection(w)
 		return
 	}
-	select {
+	select { // a command that is lost gets no answer
 	case result := <-answered:
 		writeMessage(w, result.Status, &result.Heartbeat)
 	case <-r.Context().Done():
@@ -67,6 +67,7 @@
 	mu      sync.Mutex
 	clients map[string]*transport.Client // by controller
 	addr    func(node string) string
+	isLost  func(worker *fake.Worker, node string, body []byte) bool // may be nil
 }
 
 // Limits of the workers' connections to each controller.
@@ -88,11 +89,18 @@
 // send sends a heartbeat without blocking and passes the response to callback, with status 0 if there is
 // none. Both send and callback run inside clock.Do.
 func (s *heartbeatSender) send(
-	_ *fake.Worker,
+	worker *fake.Worker,
 	node string,
 	body []byte,
 	callback func(status int, reply []byte),
 ) {
+	if s.isLost == nil || !s.isLost(worker, node, body) {
+		s.post(node, body, callback)
+	}
+}
+
+// post sends a heartbeat, or a copy of one, to a controller.
+func (s *heartbeatSender) post(node string, body []byte, callback func(status int, reply []byte)) {
 	client := s.client(node)
 	go func() {
 		message, err := client.Do("POST", protocol.HeartbeatPath, body, heartbeatTimeout)
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -28,6 +28,8 @@
 type WorkerFaults struct {
 	FailsTasks  bool // every task fails
 	Partitioned bool // disconnected from all controllers; tasks keep running
+	Deaf        bool // heartbeats arrive, but answers and direct commands are lost
+	Mute        bool // heartbeats are lost, but direct commands arrive
 	Paused      bool
 }
 
--- a/internal/fake/worker_heartbeats.go
+++ b/internal/fake/worker_heartbeats.go
@@ -81,12 +81,15 @@
 		if done || w.gone {
 			return
 		}
+		if status != 0 && w.Deaf {
+			return // the timeout of the heartbeat follows
+		}
 		done = true
 		w.inFlight = false
 		w.handleReply(sentAt, incarnation, status, reply)
 	}
 	f.Clock.After(heartbeatTimeout, func() { finish(0, nil) })
-	if w.Partitioned {
+	if w.Partitioned || w.Mute {
 		return
 	}
 	body := protocol.MustMarshal(w.Heartbeat())
