--- a/internal/fake/state_store_watches.go
+++ b/internal/fake/state_store_watches.go
@@ -18,7 +18,7 @@
 	caller   string
 	call     *protocol.StoreCall
 	callback func(protocol.StoreResult)
-	answered bool
+	answered bool // it has an answer, or its caller waits for none any more
 }
 
 // handleWatch answers a watch immediately if there are changes since its revision. Otherwise the watch blocks
@@ -30,6 +30,7 @@
 		return
 	}
 	s.watches = append(s.watches, waiting)
+	s.Clock.After(call.Timeout, func() { waiting.answered = true }) // the caller has given up
 	s.Clock.After(call.MaxBlock, func() {
 		if !s.Down {
 			s.answerWatch(waiting, true)
