--- a/internal/fake/loopback/soak_faults_test.go
+++ b/internal/fake/loopback/soak_faults_test.go
@@ -71,35 +71,57 @@
 // users cancel.
 func planSoakFaults(rnd *rand.Rand, run *soakRun) []soakFault {
 	p := &soakPlanner{run: run, rnd: rnd}
-	cancel := run.timing.cancel.Duration()
 	at := time.Duration(0)
 	for range 2 {
-		outageAt := at + p.between(0, 3*time.Second)
-		outage := p.between(cancel/3, cancel*5/4)
-		if p.rnd.IntN(10) < 7 {
-			p.refuse(at, p.between(time.Second, 8*time.Second))
-		}
-		if p.rnd.IntN(10) < 8 {
-			p.outage(outageAt, outage)
-		}
-		others := []func(at time.Duration){
-			p.kill, p.kill, p.killAll, p.killInSeries, p.pause, p.cutPeers, p.cutStateAndPeers, p.cutWorkers, p.cutZone,
-			p.loseCommitAnswers, p.delayCommits, p.delayCommands, p.copyReports, p.copyReportsToNextLeader, p.slowReplies,
-			p.deafMachines, p.muteMachines, p.hangMachines, p.partitionMachines,
-		}
-		for range 2 + p.rnd.IntN(3) {
-			others[p.rnd.IntN(len(others))](max(0, outageAt+p.between(-2*time.Second, outage)))
-		}
+		outageAt, outage := p.stateFaults(at)
+		p.otherFaults(outageAt, outage)
 		for range 3 + p.rnd.IntN(3) {
 			p.cancelRunning(max(0, outageAt+p.between(-2*time.Second, time.Second)))
 		}
 		p.cancelRunning(outageAt + outage)
-		at += outage + 6*time.Second
+		at = outageAt + outage + 3*time.Second
 	}
 	slices.SortStableFunc(p.faults, func(a, b soakFault) int { return int(a.at - b.at) })
 	return p.faults
 }
 
+// stateFaults adds the state service's faults of a meeting that begins at a time, and returns when its outage
+// begins and how long it is. In a third of the meetings, a controller that owns machines loses the state
+// service, and maybe its peers, moments before an outage that is longer than the cancellation deadline.
+func (p *soakPlanner) stateFaults(at time.Duration) (outageAt, outage time.Duration) {
+	cancel := p.run.timing.cancel.Duration()
+	if p.rnd.IntN(3) == 0 {
+		outageAt, outage = at+p.between(time.Second, 3*time.Second), p.between(cancel*11/10, cancel*3/2)
+		if p.rnd.IntN(2) == 0 {
+			p.refuseFor(at, outage)
+		} else {
+			p.cutStateAndPeersFor(at, outage)
+		}
+		p.outage(outageAt, outage)
+		return outageAt, outage
+	}
+	outageAt, outage = at+p.between(0, 3*time.Second), p.between(cancel/3, cancel*5/4)
+	if p.rnd.IntN(10) < 7 {
+		p.refuseFor(at, p.between(time.Second, 8*time.Second))
+	}
+	if p.rnd.IntN(10) < 8 {
+		p.outage(outageAt, outage)
+	}
+	return outageAt, outage
+}
+
+// otherFaults adds two to four faults of any kind that overlap with an outage.
+func (p *soakPlanner) otherFaults(outageAt, outage time.Duration) {
+	kinds := []func(at time.Duration){
+		p.kill, p.kill, p.killAll, p.killInSeries, p.pause, p.cutPeers, p.cutStateAndPeers, p.cutWorkers, p.cutZone,
+		p.loseCommitAnswers, p.delayCommits, p.delayCommands, p.copyReports, p.copyReportsToNextLeader, p.slowReplies,
+		p.deafMachines, p.muteMachines, p.hangMachines, p.partitionMachines,
+	}
+	for range 2 + p.rnd.IntN(3) {
+		kinds[p.rnd.IntN(len(kinds))](max(0, outageAt+p.between(-2*time.Second, outage)))
+	}
+}
+
 func (p *soakPlanner) between(least, most time.Duration) time.Duration {
 	return least + time.Duration(p.rnd.Int64N(int64(most-least)))
 }
@@ -129,7 +151,7 @@
 	p.add(at, duration, name+" "+picker.name, func() { picked = picker.pick(); begin(picked) }, func() { end(picked) })
 }
 
-func (p *soakPlanner) refuse(at, duration time.Duration) {
+func (p *soakPlanner) refuseFor(at, duration time.Duration) {
 	p.onNode(at, duration, "the state service refuses",
 		func(node string) { p.run.setRefused(node, true) }, func(node string) { p.run.setRefused(node, false) })
 }
@@ -183,10 +205,14 @@
 }
 
 func (p *soakPlanner) cutStateAndPeers(at time.Duration) {
+	p.cutStateAndPeersFor(at, p.between(5*time.Second, 20*time.Second))
+}
+
+func (p *soakPlanner) cutStateAndPeersFor(at, duration time.Duration) {
 	set := func(cut bool) func(node string) {
 		return func(node string) { p.run.setRefused(node, cut); p.run.CutPeers(node, cut) }
 	}
-	p.onNode(at, p.between(5*time.Second, 20*time.Second), "cut from the state service and its peers", set(true), set(false))
+	p.onNode(at, duration, "cut from the state service and its peers", set(true), set(false))
 }
 
 func (p *soakPlanner) cutWorkers(at time.Duration) {
