--- a/internal/fake/loopback/soak_faults_test.go
+++ b/internal/fake/loopback/soak_faults_test.go
@@ -3,49 +3,14 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"slices"
-	"sync"
 	"time"
 
 	"pipitgap/internal/fake"
 	"pipitgap/internal/monotime"
-	"pipitgap/internal/protocol"
 	"pipitgap/internal/sortedmap"
-	"pipitgap/internal/storage"
 )
 
-// lockedRandom is a source of random numbers for concurrent use.
-type lockedRandom struct {
-	mu     sync.Mutex
-	random *rand.Rand
-}
-
-func newLockedRandom(seed uint64) *lockedRandom {
-	return &lockedRandom{random: rand.New(rand.NewPCG(seed, 19))}
-}
-
-// chance returns true with the given probability.
-func (r *lockedRandom) chance(probability float64) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.random.Float64() < probability
-}
-
-// between returns a random duration.
-func (r *lockedRandom) between(least, most time.Duration) time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return least + time.Duration(r.random.Int64N(int64(most-least)))
-}
-
-// intN returns a random number below n.
-func (r *lockedRandom) intN(n int) int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.random.IntN(n)
-}
-
 // soakFault is a fault of a run. at counts from the end of the warm-up.
 type soakFault struct {
 	at, duration time.Duration
@@ -233,86 +198,6 @@
 		func() { p.run.SetHeartbeatFaults(isLost) }, func() { p.run.SetHeartbeatFaults(nil) })
 }
 
-func (p *soakPlanner) loseCommitAnswers(at time.Duration) {
-	share := p.rnd.Float64()
-	p.addSimulated(at, p.between(2*time.Second, 10*time.Second), fmt.Sprintf("%.2f of commit answers are lost", share),
-		func() {
-			p.run.Store.LoseResponse = func(*protocol.Transaction) bool { return p.run.random.chance(share) }
-		},
-		func() { p.run.Store.LoseResponse = nil })
-}
-
-func (p *soakPlanner) delayCommits(at time.Duration) {
-	share := p.rnd.Float64() / 4
-	p.addSimulated(at, p.between(2*time.Second, 10*time.Second), fmt.Sprintf("%.2f of commits are late", share),
-		func() {
-			p.run.Store.DelayCommit = func(*protocol.Transaction) monotime.Micros {
-				if p.run.random.chance(share) {
-					return monotime.FromDuration(p.run.random.between(2*time.Second, 6*time.Second))
-				}
-				return 0
-			}
-		}, func() { p.run.Store.DelayCommit = nil })
-}
-
-func (p *soakPlanner) slowReplies(at time.Duration) {
-	most := p.between(100*time.Millisecond, time.Second)
-	p.addSimulated(at, p.between(2*time.Second, 12*time.Second), "slow replies of the state service, up to "+most.String(),
-		func() {
-			p.run.Store.DelayResponse = func(string, *protocol.StoreCall) monotime.Micros {
-				return monotime.FromDuration(p.run.random.between(0, most))
-			}
-		}, func() { p.run.Store.DelayResponse = nil })
-}
-
-func (p *soakPlanner) delayCommands(at time.Duration) {
-	share := p.rnd.Float64()
-	p.add(at, p.between(5*time.Second, 25*time.Second), fmt.Sprintf("%.2f of direct commands are late", share), func() {
-		p.run.SetFaults(func(caller string, r *http.Request) Fault {
-			if caller == "worker" && r.URL.Path == protocol.WorkerCommandsPath && p.run.random.chance(share) {
-				return Fault{Delay: p.run.random.between(time.Second, 8*time.Second)}
-			}
-			return Fault{}
-		})
-	}, func() { p.run.SetFaults(nil) })
-}
-
-// copyReports delivers copies of heartbeats to all controllers later, some after more than a lease.
-func (p *soakPlanner) copyReports(at time.Duration) {
-	share := p.rnd.Float64() / 2
-	most := 2 * p.run.timing.lease
-	copyLater := func(_ *fake.Worker, _ string, body []byte) bool {
-		if p.run.random.chance(share) {
-			p.run.SimClock.After(monotime.FromDuration(p.run.random.between(time.Second, most.Duration())), func() {
-				p.run.postCopies([][]byte{body})
-			})
-		}
-		return false
-	}
-	p.add(at, p.between(5*time.Second, 20*time.Second), fmt.Sprintf("copies of %.2f of the heartbeats come late", share),
-		func() { p.run.SetHeartbeatFaults(copyLater) }, func() { p.run.SetHeartbeatFaults(nil) })
-}
-
-// copyReportsToNextLeader keeps copies of heartbeats until another controller leads.
-func (p *soakPlanner) copyReportsToNextLeader(at time.Duration) {
-	var copies [][]byte
-	leader := ""
-	keep := func(_ *fake.Worker, _ string, body []byte) bool {
-		var current storage.Leader
-		p.run.Store.Read(storage.LeaderKey, &current)
-		if current.Node != "" && current.Node != leader {
-			p.run.postCopies(copies)
-			copies, leader = nil, current.Node
-		}
-		if p.run.random.chance(0.3) && len(copies) < 200 {
-			copies = append(copies, body)
-		}
-		return false
-	}
-	p.add(at, p.between(5*time.Second, 20*time.Second), "copies of heartbeats reach the next leader",
-		func() { leader = p.run.leader(); p.run.SetHeartbeatFaults(keep) }, func() { p.run.SetHeartbeatFaults(nil) })
-}
-
 // onMachines adds a fault of random machines.
 func (p *soakPlanner) onMachines(at, duration time.Duration, name string, begin, end func(w *fake.Worker)) {
 	share, picked := p.rnd.Float64(), []*fake.Worker(nil)
@@ -362,63 +247,3 @@
 	count := 1 + p.rnd.IntN(5)
 	p.add(at, 0, fmt.Sprintf("%d cancellations", count), func() { p.run.users.cancelRunning(count) }, func() {})
 }
-
-// setRefused begins or ends the refusal of a controller by the state service.
-func (s *soakRun) setRefused(node string, refused bool) {
-	s.Clock.Do(func() { s.Store.RefusedCallers[node] = refused })
-}
-
-func (s *soakRun) kill(node string) { s.Process(node).Kill() }
-
-// startIfDown starts a controller that does not run.
-func (s *soakRun) startIfDown(node string) {
-	if process := s.Process(node); !process.Running() {
-		process.Kill() // releases a process that has ended by itself
-		s.StartController(node)
-	}
-}
-
-// postCopies delivers copies of heartbeats to all controllers. It runs inside Clock.Do.
-func (s *soakRun) postCopies(bodies [][]byte) {
-	for _, body := range bodies {
-		for _, node := range s.Controllers {
-			s.heartbeats.post(node, body, func(int, []byte) {})
-		}
-	}
-}
-
-// playFaults begins and ends the faults at their times.
-func (s *soakRun) playFaults() {
-	type step struct {
-		at  time.Duration
-		run func()
-	}
-	var steps []step
-	for _, fault := range s.faults {
-		steps = append(steps, step{fault.at, fault.begin}, step{fault.at + fault.duration, fault.end})
-	}
-	slices.SortStableFunc(steps, func(a, b step) int { return int(a.at - b.at) })
-	startedAt := time.Now()
-	for _, next := range steps {
-		time.Sleep(next.at - time.Since(startedAt))
-		next.run()
-	}
-}
-
-// endFaults ends every fault, whatever has begun.
-func (s *soakRun) endFaults() {
-	s.SetFaults(nil)
-	s.SetHeartbeatFaults(nil)
-	for _, node := range s.Controllers {
-		s.CutPeers(node, false)
-		s.Process(node).Resume()
-		s.startIfDown(node)
-	}
-	s.Clock.Do(func() {
-		clear(s.Store.RefusedCallers)
-		s.Store.LoseResponse, s.Store.DelayCommit, s.Store.DelayResponse = nil, nil, nil
-		for _, worker := range s.Fleet.Workers {
-			worker.Deaf, worker.Mute, worker.Partitioned = false, false, false
-		}
-	})
-}
