Known red: messages of two incarnations' rounds are counted together

If a sender with more than 1,000 cancellations that the receiver's mirror lacks loses the second message of a round, ends, and its next incarnation loses the first message of the round of the same number, the receiver takes the round as complete. Its knowledge then counts as newer than it is.

--- a/internal/cancellation/relay_test.go
+++ b/internal/cancellation/relay_test.go
@@ -174,3 +174,23 @@
 		t.Errorf("after Prune up to revision 60: cancellations %+v, want none", third.CommittedAfter(0))
 	}
 }
+
+// TestRoundsOfTwoIncarnationsAreNotCompletedTogether guards against a round that counts as complete with a
+// message of an earlier incarnation's round of the same number.
+func TestRoundsOfTwoIncarnationsAreNotCompletedTogether(t *testing.T) {
+	p := newPair()
+	p.deliverToConfirmer(500, 50)
+	for i := range maxCommittedPerMessage + 1 {
+		p.confirmer.Add(Committed{fmt.Sprintf("j-%d", i), uint64(100 + i)})
+	}
+	p.deliverToRenewer(true, 1) // the second message of round 1 is lost
+	p.confirmer = NewRelay(23, []string{"renewer"})
+	p.deliverToConfirmer(600, 50)
+	for i := range maxCommittedPerMessage + 1 {
+		p.confirmer.Add(Committed{fmt.Sprintf("k-%d", i), uint64(5000 + i)})
+	}
+	p.deliverToRenewer(true, 0) // the first message of round 1 is lost
+	if got := p.renewer.ConfirmedUntil(0, 900); got != 0 {
+		t.Errorf("after half a round of each incarnation: ConfirmedUntil = %d, want 0", got)
+	}
+}
