Cancellations of one round are in the mirror before any worker gets commands

What callers saw: a task that starts after its job is confirmed as cancelled, and is killed a moment later.

Cause: a round with several cancellations was applied one by one, and the first one's kill was sent at once, together with all other commands of the machine: also with the start of a task of the second job, which the exchange already held.

Mirror.ApplyPutsAhead applies all puts, then reports the changes.

--- a/internal/agents/cancellations.go
+++ b/internal/agents/cancellations.go
@@ -134,12 +134,14 @@
 // Receive applies the cancellations in a peer's message that the mirror lacks. They are committed and
 // therefore final.
 func (cs *Cancellations) Receive(peer string, message cancellation.RoundMessage) {
+	var ahead []cancellation.Committed
 	for _, cancelled := range cs.relay.Receive(peer, message) {
 		cs.note(cancelled, cancellation.SourcePeer)
 		if cancelled.Revision > cs.mirror.WatchedRevision {
-			cs.apply(cancelled)
+			ahead = append(ahead, cancelled)
 		}
 	}
+	cs.apply(ahead...)
 }
 
 // Record learns the cancellation of a job if the mirror contains one.
@@ -163,16 +165,20 @@
 		job := cs.mirror.Jobs[id]
 		return job != nil && !job.IsOpen()
 	})
-	for _, cancelled := range cs.relay.CommittedAfter(cs.mirror.WatchedRevision) {
-		cs.apply(cancelled)
-	}
+	cs.apply(cs.relay.CommittedAfter(cs.mirror.WatchedRevision)...)
 }
 
-// apply writes a committed cancellation into the mirror ahead of the watch.
-func (cs *Cancellations) apply(cancelled cancellation.Committed) {
-	cs.mirror.ApplyPut(
-		storage.JobResultKey(cancelled.Job),
-		protocol.MustMarshal(&storage.JobResult{State: storage.JobCancelled}),
-		cancelled.Revision,
-	)
+// apply writes committed cancellations into the mirror ahead of the watch. All of them are in the mirror before
+// any worker gets commands, so that the kill of one job's task never comes with the start of another's.
+func (cs *Cancellations) apply(cancelled ...cancellation.Committed) {
+	value := protocol.MustMarshal(&storage.JobResult{State: storage.JobCancelled})
+	var events []protocol.Event
+	for _, committed := range cancelled {
+		events = append(events, protocol.Event{
+			Put:     storage.JobResultKey(committed.Job),
+			Value:   value,
+			Version: committed.Revision,
+		})
+	}
+	cs.mirror.ApplyPutsAhead(events)
 }
--- a/internal/agents/cancellations_test.go
+++ b/internal/agents/cancellations_test.go
@@ -136,3 +136,31 @@
 		}
 	}
 }
+
+// TestRoundIsAppliedBeforeCommandsFollow guards against commands that start a task of a job whose cancellation
+// came in the same round as the one that the commands follow from.
+func TestRoundIsAppliedBeforeCommandsFollow(t *testing.T) {
+	replica := mirror.New()
+	for _, id := range []string{"j-1", "j-2"} {
+		replica.ApplyPut(storage.OpenJobKey(id), protocol.MustMarshal(&storage.OpenJob{
+			Spec: storage.JobSpec{Tasks: 1, CPUs: 1},
+		}), 5)
+	}
+	changes := 0
+	replica.Observe(func(storage.Kind, string, bool) {
+		changes++
+		for id, job := range replica.Jobs {
+			if job.IsOpen() {
+				t.Errorf("at change %d: job %s is open, want both cancelled", changes, id)
+			}
+		}
+	}, func(string) {})
+	cs := newTestCancellations(replica, 0)
+	cs.Receive("n-1", cancellation.RoundMessage{
+		Incarnation: 5, Round: 1, MessagesInRound: 1,
+		Committed: []cancellation.Committed{{Job: "j-1", Revision: 21}, {Job: "j-2", Revision: 22}},
+	})
+	if changes != 2 {
+		t.Errorf("got %d changes, want 2", changes)
+	}
+}
--- a/internal/coordination/cancellation_faults_test.go
+++ b/internal/coordination/cancellation_faults_test.go
@@ -102,11 +102,23 @@
 	return append(faults, submitAtRate(at-2*second, second/5, 6*second, submitAndCancelSoon))
 }
 
+// earlierCancellationSeeds are seeds that once failed: one round brought two cancellations, and the kill of the
+// first job's task came with the start of the second's.
+var earlierCancellationSeeds = []uint64{10277, 10373}
+
+// cancellationSeeds returns the seeds to simulate.
+func cancellationSeeds() []uint64 {
+	var seeds []uint64
+	for i := range uint64(*cancellationScenarios) {
+		seeds = append(seeds, *cancellationSeed+i)
+	}
+	return append(seeds, earlierCancellationSeeds...)
+}
+
 // TestCancelledTasksEndInTime simulates cancellations within moments of faults of the state service. To repeat
 // a failing seed, run it with -cancellation-scenarios 1 -cancellation-seed SEED.
 func TestCancelledTasksEndInTime(t *testing.T) {
-	for i := range uint64(*cancellationScenarios) {
-		seed := *cancellationSeed + i
+	for _, seed := range cancellationSeeds() {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			rnd := rand.New(rand.NewPCG(seed, 13))
 			s := newScenario(t, seed)
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -99,6 +99,23 @@
 	m.ApplyRevision([]protocol.Event{{Put: key, Value: value, Version: version}}, false)
 }
 
+// ApplyPutsAhead applies puts of any revisions ahead of the watch, except those that are older than the mirror's
+// records. It reports the changes after it has applied all of them.
+func (m *Mirror) ApplyPutsAhead(events []protocol.Event) {
+	var changes []change
+	for _, event := range events {
+		if prepared, ok := m.prepareChange(event, false); ok {
+			changes = append(changes, prepared)
+		}
+	}
+	for i := range changes {
+		m.applyChange(&changes[i])
+	}
+	for i := range changes {
+		m.onChange(changes[i].kind, changes[i].name, false)
+	}
+}
+
 // ApplyDelete applies the deletion of one record unless the mirror is newer. ownCommit reports whether this
 // controller committed the deletion.
 func (m *Mirror) ApplyDelete(key string, version uint64, ownCommit bool) {
