--- a/internal/fake/loopback/soak_test.go
+++ b/internal/fake/loopback/soak_test.go
@@ -61,7 +61,7 @@
 }
 
 // newSoakRun starts the deployment of a seed.
-func newSoakRun(t *testing.T, seed uint64, directory string) *soakRun {
+func newSoakRun(t *testing.T, seed uint64, program, directory string) *soakRun {
 	rnd := rand.New(rand.NewPCG(seed, 17))
 	s := &soakRun{t: t, seed: seed, large: seed%soakLargeEvery == 0, random: newLockedRandom(seed)}
 	s.timing = soakTimings[rnd.IntN(len(soakTimings))]
@@ -71,7 +71,7 @@
 	}
 	zones := []string{"a", "b"}
 	s.Deployment = NewDeployment(t, seed, Options{
-		Binary:      soakProgram(t),
+		Binary:      program,
 		Controllers: 3 + rnd.IntN(3),
 		Zones:       zones,
 		Types: []protocol.MachineType{{
@@ -199,11 +199,15 @@
 // TestSoakKeepsRules runs controllers as processes under random, overlapping faults and checks all rules from
 // outside.
 func TestSoakKeepsRules(t *testing.T) {
+	program := soakProgram(t)
+	if *soakRuns < 1 {
+		t.Fatalf("-soak-runs %d: want at least 1", *soakRuns)
+	}
 	for i := range uint64(*soakRuns) {
 		seed := *soakSeed + i
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			s := newSoakRun(t, seed, soakDirectory(t, seed))
+			s := newSoakRun(t, seed, program, soakDirectory(t, seed))
 			s.play()
 			s.check()
 			if t.Failed() {
