--- a/internal/fake/loopback/soak_test.go
+++ b/internal/fake/loopback/soak_test.go
@@ -22,7 +22,7 @@
 	soakSeed   = flag.Uint64("soak-seed", 1, "seed of the first soak run")
 	soakBinary = flag.String("soak-binary", "", "controller program of the soak; default: built from these sources")
 	soakLogs   = flag.String("soak-logs", "", "directory for the controllers' logs; default: a temporary one, "+
-		"which is kept only if the run fails")
+		"removed when the run passes")
 	soakWithoutFaults = flag.Bool("soak-without-faults", false, "soak without injected faults")
 )
 
