review: a one_zone job runs in two zones after a late assignment

A task with a lower number is assigned while a commit in doubt may still assign another task of the job elsewhere.

--- a/review/lab/case_restart.go
+++ b/review/lab/case_restart.go
@@ -112,8 +112,8 @@
 			l.Cloud.Capacity[fake.OfferKey("g8", zone, false)] = machines / len(zones)
 		}
 	})
-	l.fill(1, largeCPUs)
-	l.fill(1+machines, smallCPUs)
+	l.fill(1, largeCPUs, false)
+	l.fill(1+machines, smallCPUs, false)
 	time.Sleep(settleTime)
 
 	plan := &restartPlan{l: l, controllers: map[string]bool{}, chosen: make(chan string, 1)}
@@ -169,11 +169,13 @@
 
 func jobID(number int) string { return fmt.Sprintf("j-%06d", number) }
 
-// fill submits a service for each machine and waits until all run.
-func (l *lab) fill(first int, cpus float64) {
+// fill submits a service for each machine, which may use spot machines or not, and waits until all run.
+func (l *lab) fill(first int, cpus float64, spot bool) {
 	for i := range machines {
 		node := l.Controllers[i%len(l.Controllers)]
-		if !l.submit(node, service(jobID(first+i), "platform-ops", 1, cpus), 30*time.Second) {
+		filler := service(jobID(first+i), "platform-ops", 1, cpus)
+		filler.Spot = spot
+		if !l.submit(node, filler, 30*time.Second) {
 			panic(notRun{"a service was not accepted"})
 		}
 	}
--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -218,7 +218,7 @@
 // service returns a service of single-CPU replicas or larger ones.
 func service(id, team string, replicas int, cpus float64) job {
 	return job{Submission: protocol.Submission{
-		ID: id, Class: "logger-intake", Team: team, Service: true, Priority: protocol.High, Tasks: replicas,
+		ID: id, Class: "logger-intake", Team: team, Service: true, Priority: protocol.Production, Tasks: replicas,
 		CPUs: cpus, MemoryGB: 1, Image: "img", ImageGB: 0.5,
 	}}
 }
