--- a/review/lab/case_restart.go
+++ b/review/lab/case_restart.go
@@ -24,11 +24,14 @@
 	downtime       = 300 * time.Millisecond
 )
 
+// guestTeam is the guest team of the site kingston-logger-grid-ops, which has no limit.
+const guestTeam = "uwi-hydro-lab"
+
 // Jobs and machines. A machine has room for one large service and one small one.
 const (
-	machines   = 24
-	largeCPUs  = 90
-	smallCPUs  = 6
+	machines   = 76
+	largeCPUs  = 14
+	smallCPUs  = 2
 	firstLate  = 900 // number of the first job that is submitted in the window
 	lateJobs   = 2
 	settleTime = 3 * time.Second
@@ -96,9 +99,9 @@
 		Controllers: 3,
 		Zones:       zones,
 		Types: []protocol.MachineType{{
-			Name: "g8", CPUs: 96, MemoryGB: 768, OnDemandPrice: 12, SpotPrice: 4.5, Zones: zones, BootS: 5,
+			Name: "mango16", CPUs: 16, MemoryGB: 128, OnDemandPrice: 1.06, SpotPrice: 0.43, Zones: zones, BootS: 5,
 		}},
-		Teams:             []config.Team{{Name: "platform-ops"}},
+		Teams:             append([]config.Team{{Name: guestTeam}}, kingstonTeams...),
 		BootTime:          5 * monotime.Second,
 		HeartbeatInterval: 2 * monotime.Second,
 		LeaseTime:         12 * monotime.Second,
@@ -109,7 +112,7 @@
 	}, 4, 12)
 	l.Clock.Do(func() {
 		for _, zone := range zones {
-			l.Cloud.Capacity[fake.OfferKey("g8", zone, false)] = machines / len(zones)
+			l.Cloud.Capacity[fake.OfferKey("mango16", zone, false)] = machines / len(zones)
 		}
 	})
 	l.fill(1, largeCPUs, false)
@@ -137,7 +140,7 @@
 	accepted := make(chan bool, lateJobs)
 	for i := range lateJobs {
 		go func() {
-			accepted <- l.submit(target, service(jobID(firstLate+i), "platform-ops", 1, smallCPUs), 30*time.Second)
+			accepted <- l.submit(target, service(jobID(firstLate+i), guestTeam, 1, smallCPUs), 30*time.Second)
 		}()
 	}
 	if l.trouble {
@@ -173,7 +176,7 @@
 func (l *lab) fill(first int, cpus float64, spot bool) {
 	for i := range machines {
 		node := l.Controllers[i%len(l.Controllers)]
-		filler := service(jobID(first+i), "platform-ops", 1, cpus)
+		filler := service(jobID(first+i), guestTeam, 1, cpus)
 		filler.Spot = spot
 		if !l.submit(node, filler, 30*time.Second) {
 			panic(notRun{"a service was not accepted"})
--- a/review/lab/case_zone.go
+++ b/review/lab/case_zone.go
@@ -11,6 +11,7 @@
 	"pipitgap/internal/fake/loopback"
 	"pipitgap/internal/monotime"
 	"pipitgap/internal/protocol"
+	"pipitgap/internal/sortedmap"
 	"pipitgap/internal/storage"
 )
 
@@ -117,9 +118,9 @@
 		Controllers: 3,
 		Zones:       zones,
 		Types: []protocol.MachineType{{
-			Name: "g8", CPUs: 96, MemoryGB: 768, OnDemandPrice: 12, SpotPrice: 4.5, Zones: zones, BootS: 5,
+			Name: "mango16", CPUs: 16, MemoryGB: 128, OnDemandPrice: 1.06, SpotPrice: 0.43, Zones: zones, BootS: 5,
 		}},
-		Teams:             []config.Team{{Name: "platform-ops"}},
+		Teams:             append([]config.Team{{Name: guestTeam}}, kingstonTeams...),
 		BootTime:          5 * monotime.Second,
 		HeartbeatInterval: 2 * monotime.Second,
 		LeaseTime:         12 * monotime.Second,
@@ -129,33 +130,38 @@
 		LogLevel:          "debug",
 	}, 4, 12)
 	l.Clock.Do(func() {
-		l.Cloud.Capacity[fake.OfferKey("g8", zoneA, false)] = machines / 2
-		l.Cloud.Capacity[fake.OfferKey("g8", zoneB, true)] = machines / 2
+		l.Cloud.Capacity[fake.OfferKey("mango16", zoneA, false)] = machines / 2
+		l.Cloud.Capacity[fake.OfferKey("mango16", zoneB, true)] = machines / 2
 	})
 	l.fill(1, largeCPUs, true)
 	l.fill(1+machines, smallCPUs, true)
 	time.Sleep(settleTime)
 
-	owner, first, second, other := l.choosePlaces(zoneA, zoneB)
-	l.note("plan: %s owns %v, %v and %v", owner, first, second, other)
-	for _, free := range []place{first, second} {
+	owner, inA, inB := l.choosePlaces(zoneA, zoneB)
+	l.note("plan: %s owns %v and %v", owner, inA, inB)
+	for _, free := range inA {
 		id := l.smallServiceOn(free.machine)
 		l.ask(owner, "POST", protocol.CancelPath(id), id, nil)
 	}
-	otherService := l.smallServiceOn(other.machine)
+	services := map[string]string{} // by shard
+	for shard, place := range inB {
+		services[shard] = l.smallServiceOn(place.machine)
+	}
 	time.Sleep(settleTime)
 
 	plan := &zonePlan{l: l, trouble: l.trouble, events: make(chan string, 2)}
 	l.Clock.Do(func() { l.Store.DelayCommit = plan.delay })
-	pair := service(pairJob, "platform-ops", 2, smallCPUs)
+	pair := service(pairJob, guestTeam, 2, smallCPUs)
 	pair.Priority, pair.OneZone, pair.Spot = protocol.Standard, true, true
 	if !l.submit(owner, pair, 10*time.Second) {
 		panic(notRun{"the job was not accepted"})
 	}
 	plan.await("first")
+	otherService := ""
+	l.Clock.Do(func() { otherService = services[plan.first] })
 	go l.ask(owner, "POST", protocol.CancelPath(otherService), otherService, nil)
 	plan.await("second")
-	urgent := service(urgentJob, "platform-ops", 1, smallCPUs)
+	urgent := service(urgentJob, guestTeam, 1, smallCPUs)
 	urgent.Priority, urgent.Zone = protocol.Production, zoneA
 	go l.submit(owner, urgent, 10*time.Second)
 	time.Sleep(lateSecondTask.Duration() + 100*time.Millisecond)
@@ -176,21 +182,28 @@
 	}
 }
 
-// choosePlaces returns a controller with machines in two shards in zone a and a machine in zone b that is not in
-// the second of these shards.
-func (l *lab) choosePlaces(a, b string) (owner string, first, second, other place) {
+// choosePlaces returns a controller with two shards that both have machines in the zones a and b: a machine of zone
+// a of each, and by shard a machine of zone b.
+func (l *lab) choosePlaces(a, b string) (owner string, inA [2]place, inB map[string]place) {
 	for _, owner := range l.Controllers {
-		places := l.placesOf(owner)
-		for _, first := range places {
-			for _, second := range places {
-				for _, other := range places {
-					if first.zone == a && second.zone == a && first.shard != second.shard && other.zone == b &&
-						other.shard != second.shard && other.shard != first.shard {
-						return owner, first, second, other
-					}
-				}
+		byShard := map[string]map[string]place{}
+		for _, p := range l.placesOf(owner) {
+			if byShard[p.shard] == nil {
+				byShard[p.shard] = map[string]place{}
+			}
+			byShard[p.shard][p.zone] = p
+		}
+		var fitting []place
+		inB := map[string]place{}
+		for _, shard := range sortedmap.Keys(byShard) {
+			if zones := byShard[shard]; zones[a].machine != "" && zones[b].machine != "" {
+				fitting = append(fitting, zones[a])
+				inB[shard] = zones[b]
 			}
 		}
+		if len(fitting) >= 2 {
+			return owner, [2]place{fitting[0], fitting[1]}, inB
+		}
 	}
 	panic(notRun{"no controller has fitting shards"})
 }
