--- a/review/lab/case_zone.go
+++ b/review/lab/case_zone.go
@@ -11,7 +11,6 @@
 	"pipitgap/internal/fake/loopback"
 	"pipitgap/internal/monotime"
 	"pipitgap/internal/protocol"
-	"pipitgap/internal/sortedmap"
 	"pipitgap/internal/storage"
 )
 
@@ -137,16 +136,11 @@
 	l.fill(1+machines, smallCPUs, true)
 	time.Sleep(settleTime)
 
-	owner, inA, inB := l.choosePlaces(zoneA, zoneB)
-	l.note("plan: %s owns %v and %v", owner, inA, inB)
-	for _, free := range inA {
-		id := l.smallServiceOn(free.machine)
-		l.ask(owner, "POST", protocol.CancelPath(id), id, nil)
-	}
-	services := map[string]string{} // by shard
-	for shard, place := range inB {
-		services[shard] = l.smallServiceOn(place.machine)
-	}
+	owner, first, second, other := l.choosePlaces(zoneA, zoneB)
+	l.note("plan: %s owns %v, %v and %v", owner, first, second, other)
+	cancel := func(id string) { l.ask(owner, "POST", protocol.CancelPath(id), id, nil) }
+	cancel(l.smallServiceOn(first.machine))
+	later := []string{l.smallServiceOn(other.machine), l.smallServiceOn(second.machine)}
 	time.Sleep(settleTime)
 
 	plan := &zonePlan{l: l, trouble: l.trouble, events: make(chan string, 2)}
@@ -157,9 +151,9 @@
 		panic(notRun{"the job was not accepted"})
 	}
 	plan.await("first")
-	otherService := ""
-	l.Clock.Do(func() { otherService = services[plan.first] })
-	go l.ask(owner, "POST", protocol.CancelPath(otherService), otherService, nil)
+	for _, id := range later {
+		go cancel(id)
+	}
 	plan.await("second")
 	urgent := service(urgentJob, guestTeam, 1, smallCPUs)
 	urgent.Priority, urgent.Zone = protocol.Production, zoneA
@@ -182,27 +176,20 @@
 	}
 }
 
-// choosePlaces returns a controller with two shards that both have machines in the zones a and b: a machine of zone
-// a of each, and by shard a machine of zone b.
-func (l *lab) choosePlaces(a, b string) (owner string, inA [2]place, inB map[string]place) {
+// choosePlaces returns a controller with a machine of zone a in one shard, another one in a second shard, and a
+// machine of zone b that is not in the second shard.
+func (l *lab) choosePlaces(a, b string) (owner string, first, second, other place) {
 	for _, owner := range l.Controllers {
-		byShard := map[string]map[string]place{}
-		for _, p := range l.placesOf(owner) {
-			if byShard[p.shard] == nil {
-				byShard[p.shard] = map[string]place{}
+		places := l.placesOf(owner)
+		for _, first := range places {
+			for _, second := range places {
+				for _, other := range places {
+					if first.zone == a && second.zone == a && other.zone == b &&
+						first.shard != second.shard && other.shard != second.shard {
+						return owner, first, second, other
+					}
+				}
 			}
-			byShard[p.shard][p.zone] = p
-		}
-		var fitting []place
-		inB := map[string]place{}
-		for _, shard := range sortedmap.Keys(byShard) {
-			if zones := byShard[shard]; zones[a].machine != "" && zones[b].machine != "" {
-				fitting = append(fitting, zones[a])
-				inB[shard] = zones[b]
-			}
-		}
-		if len(fitting) >= 2 {
-			return owner, [2]place{fitting[0], fitting[1]}, inB
 		}
 	}
 	panic(notRun{"no controller has fitting shards"})
