--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -5,9 +5,11 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"slices"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -75,9 +77,15 @@
 	}
 	watchdog := time.AfterFunc(caseLimit, func() {
 		l.note("the case took too long")
-		os.Exit(statusNotRun) // the kernel ends the controllers
+		l.abort()
 	})
 	defer watchdog.Stop()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		l.abort()
+	}()
 	defer func() {
 		if r := recover(); r != nil {
 			l.note("could not run: %v", r)
@@ -91,6 +99,16 @@
 	return l.verdict()
 }
 
+// abort ends the controllers and this program.
+func (l *lab) abort() {
+	if l.Deployment != nil {
+		for _, node := range l.Controllers {
+			l.Process(node).Kill()
+		}
+	}
+	os.Exit(statusNotRun)
+}
+
 // verdict reports the violations that the checker has seen from outside.
 func (l *lab) verdict() int {
 	status := statusHeld
