Logs and an invariant that show a second attempt of a task and which commit made it

The log of the untouched sources has no revisions of commits, and nothing at all of a transaction whose process has ended.

Now 'shard committed' and 'shards claimed' have the revision, 'controller membership' has incarnation and revision, and each controller reports a task with attempts in two shards as 'invariant violated' (rule "task has one attempt"), once while it lasts, with all attempts, their shards, owners and revisions. Lists that are still being loaded are of different revisions and are left out.

--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -76,6 +76,7 @@
 	drains        *drainer.Drainer // nil if the settings do not enable drains
 	counters      activityCounters
 	invariants    *invariant.Recorder
+	duplicates    reportedDuplicates
 	store         *storeclient.Client
 	replica       *mirror.Replica
 	membership    *membership.Membership
@@ -109,6 +110,7 @@
 		recordWritesInFlight: recordWrites{},
 	}
 	c.invariants = invariant.NewRecorder(log)
+	c.duplicates = reportedDuplicates{}
 	c.mirror = mirror.New()
 	c.store = newStoreClient(c)
 	c.pauses = reachability.NewPauseDetector(log)
@@ -240,6 +242,7 @@
 	case storage.KindShard:
 		c.scheduler.RequestPass()
 		c.shards.HandleShardChange(name)
+		c.checkSingleAttempts(name)
 	case storage.KindScaleOut, storage.KindScaleIn, storage.KindDrain, storage.KindPermits:
 		c.scheduler.RequestPass()
 	case storage.KindMember:
--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -19,6 +19,8 @@
 	RenewalIsFresh Rule = "lease renewal on recent knowledge"
 	// CancelledNotRun: no command runs a task of a job that is known to be cancelled.
 	CancelledNotRun Rule = "cancelled task is not run"
+	// SingleAttempt: the shards record at most one attempt of each task.
+	SingleAttempt Rule = "task has one attempt"
 )
 
 // Recorder logs and counts violations. It is not safe for concurrent use.
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -183,5 +183,7 @@
 	if member {
 		delete(m.absentSince, node)
 	}
-	m.log.Info("controller membership", "state", logging.ConditionState(member), "node", node)
+	entry := m.mirror.Members[node]
+	m.log.Info("controller membership", "state", logging.ConditionState(member), "node", node,
+		"incarnation", entry.Record.Incarnation, "revision", entry.Version)
 }
--- a/internal/mirror/job.go
+++ b/internal/mirror/job.go
@@ -53,8 +53,11 @@
 	}
 }
 
+// attempts returns the number of shards that hold an attempt of the task.
+func (j *Job) attempts(task int) int { return int(j.TaskStates[task] % doneUnit) }
+
 // isAssigned reports whether at least one shard holds an attempt of the task.
-func (j *Job) isAssigned(task int) bool { return j.TaskStates[task]%doneUnit != 0 }
+func (j *Job) isAssigned(task int) bool { return j.attempts(task) > 0 }
 
 // IsOpen reports whether the job has no result yet.
 func (j *Job) IsOpen() bool { return j.FinalState == "" }
--- a/internal/mirror/records_test.go
+++ b/internal/mirror/records_test.go
@@ -1,10 +1,12 @@
 package mirror
 
 import (
+	"slices"
 	"testing"
 
 	"pipitgap/internal/protocol"
 	"pipitgap/internal/storage"
+	"pipitgap/internal/storage/storagetest"
 )
 
 // TestMalformedRecords checks that a put with a malformed value changes nothing: the mirror keeps the
@@ -200,3 +202,47 @@
 		})
 	}
 }
+
+// TestDuplicatedTasksAreFound guards against a second attempt of a task that is not noticed, and against a
+// report of a machine that moves between shards in one revision.
+func TestDuplicatedTasksAreFound(t *testing.T) {
+	first, second := storage.ShardKey("first"), storage.ShardKey("second")
+	running := storagetest.Shard("i-1", "a", 2, 0)
+	elsewhere := storagetest.Shard("i-2", "a", 1, 0)
+	empty := storagetest.Shard("i-9", "b", 0, 0)
+	for _, tc := range []struct {
+		name  string
+		apply func(m *Mirror)
+		want  []TaskID
+	}{
+		{"one shard", func(m *Mirror) { m.ApplyPut(first, running, 2) }, nil},
+		{"another attempt in a second shard", func(m *Mirror) {
+			m.ApplyPut(first, running, 2)
+			m.ApplyPut(second, elsewhere, 3)
+		}, []TaskID{{"a", 0}}},
+		{"second attempt ended", func(m *Mirror) {
+			m.ApplyPut(first, running, 2)
+			m.ApplyPut(second, elsewhere, 3)
+			m.ApplyPut(second, empty, 4)
+		}, nil},
+		{"machine moved", func(m *Mirror) {
+			m.ApplyPut(second, running, 2)
+			m.ApplyRevision([]protocol.Event{
+				{Put: first, Value: running, Version: 3}, {Put: second, Value: empty, Version: 3},
+			}, false)
+		}, nil},
+	} {
+		m := New()
+		putJob(m, "a", 2, 1)
+		tc.apply(m)
+		if got := m.DuplicatedTasks(m.Shards["first"]); !slices.Equal(got, tc.want) {
+			t.Errorf("%s: got duplicated tasks %v, want %v", tc.name, got, tc.want)
+		}
+		if got := m.IsDuplicated(TaskID{"a", 0}); got != (len(tc.want) > 0) {
+			t.Errorf("%s: got task 0 duplicated %t, want %t", tc.name, got, len(tc.want) > 0)
+		}
+		if got, want := len(m.AttemptsOf(TaskID{"a", 0})), 1+len(tc.want); got != want {
+			t.Errorf("%s: got %d attempts of task 0, want %d", tc.name, got, want)
+		}
+	}
+}
--- a/internal/shards/commit.go
+++ b/internal/shards/commit.go
@@ -55,7 +55,7 @@
 	}
 	switch result.Outcome {
 	case protocol.OK:
-		m.handleCommitted(update)
+		m.handleCommitted(update, result.Revision)
 		return
 	case protocol.Unknown:
 		t.resolveUpdates(m.mirror.VersionOf(storage.ShardKey(update.name)))
@@ -70,7 +70,7 @@
 
 // handleCommitted starts the follow-up work of a committed update: it counts lost replicas, completes jobs,
 // answers claim requests and sends commands to the machines.
-func (m *Manager) handleCommitted(update *Update) {
+func (m *Manager) handleCommitted(update *Update, revision uint64) {
 	if update.losses != nil {
 		update.losses.Count()
 	}
@@ -89,6 +89,7 @@
 		m.log.Debug(
 			"shard committed",
 			"shard", update.name,
+			"revision", revision,
 			"assigned", update.describeTasks(update.assignedTasks),
 			"released", update.describeTasks(update.releasedTasks),
 			"machines_claimed", len(update.admittedMachines),
--- a/internal/shards/failover.go
+++ b/internal/shards/failover.go
@@ -72,7 +72,7 @@
 			delete(m.claimsInFlight, shard.Name)
 		}
 		if result.Outcome == protocol.OK {
-			m.handleClaimed(owner, transfer.shards)
+			m.handleClaimed(owner, transfer.shards, result.Revision)
 		}
 	})
 	return len(transfer.shards)
@@ -80,7 +80,7 @@
 
 // handleClaimed probes the workers of newly claimed shards. It sends them commands at once only if the shards
 // belonged to an earlier incarnation of this controller.
-func (m *Manager) handleClaimed(owner string, shards []*mirror.Shard) {
+func (m *Manager) handleClaimed(owner string, shards []*mirror.Shard, revision uint64) {
 	machines := 0
 	for _, shard := range shards {
 		for _, id := range sortedmap.Keys(shard.Record.Machines) {
@@ -88,7 +88,8 @@
 			m.agents.Probe(m.mirror.Machines[id], owner == m.cfg.Node)
 		}
 	}
-	m.log.Info("shards claimed", "from_node", owner, "shards", len(shards), "machines", machines)
+	m.log.Info("shards claimed",
+		"from_node", owner, "shards", len(shards), "machines", machines, "revision", revision)
 }
 
 // HandOff transfers this controller's shards to controllers that reach their workers. It is called when this
