An assignment of an ended process can't follow one of the next process

A controller is killed while its assignment has no answer and is back at once; the new process assigns the task on another of its shards, then the late assignment is applied and both run.

Cause: an assignment was conditional on its own shard's version, the job's record and the absence of a result. None of them changes with a restart, and which tasks were in doubt was known to the ended process alone.

Fix: assignments are conditional on the controller's member record, which each incarnation writes anew, as claims were before (Update.BeginJob). A new incarnation assigns nothing and changes no quota share before its mirror contains its own record and all changes up to it (Membership.IncarnationCompare): what was applied earlier is seen, what comes later is refused by the state service. No wait for a time is added. A commit has one more condition; reservedCompares is 3 now, which is exact since the condition is always counted (TestWriteStaysWithinCompareLimit), so that a commit takes as many jobs as before.

--- a/internal/coordination/task_ranges_test.go
+++ b/internal/coordination/task_ranges_test.go
@@ -64,7 +64,7 @@
 		encoded, _ := shard.Encode()
 		controller.mirror.ApplyPut(storage.Key(storage.KindShard, "p"), encoded, 5)
 		if tc.inDoubtUpdates {
-			update := shards.NewUpdate("p", controller.mirror.Shards["p"], shard)
+			update := shards.NewUpdate("p", controller.mirror.Shards["p"], shard, protocol.Compare{})
 			update.Assign(
 				controller.mirror.Jobs["j-1"],
 				storage.Attempt{Task: 2, Machine: "i-1", Number: 2},
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -147,6 +147,22 @@
 	return txn
 }
 
+// IncarnationCompare returns the transaction condition that this incarnation's member record is unchanged. It
+// works as a fencing token that the state service checks: a transaction with this condition fails once another
+// incarnation has written its record, or the state service has deleted the record with its lease, no matter how
+// late the transaction arrives.
+//
+// ok is false unless the mirror shows the record and contains all changes up to its version. If ok is true, the
+// mirror therefore contains every transaction of earlier incarnations that had this condition and was applied,
+// and none of the others can be applied any more.
+func (m *Membership) IncarnationCompare() (compare protocol.Compare, ok bool) {
+	entry := m.mirror.Members[m.node]
+	if entry.Version == 0 || entry.Record.Incarnation != m.incarnation || m.mirror.WatchedRevision < entry.Version {
+		return protocol.Compare{}, false
+	}
+	return protocol.Compare{Key: storage.MemberKey(m.node), Version: entry.Version}, true
+}
+
 // LiveControllers lists the controllers that are members according to the mirror, in the order of
 // Options.Controllers. It includes this controller only if the mirror contains its member record. HoldsLease
 // reports whether this controller may act as a member.
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -83,6 +83,37 @@
 	}
 }
 
+// TestIncarnationCompare guards against decisions of a new incarnation while a transaction of an earlier one may
+// still be applied: the condition exists only if the mirror shows the own record and all changes up to it.
+func TestIncarnationCompare(t *testing.T) {
+	for _, tc := range []struct {
+		name        string
+		incarnation uint64 // of the member record; 0: there is none
+		version     uint64
+		watched     uint64
+		want        bool
+	}{
+		{"no record", 0, 0, 9, false},
+		{"record of an earlier incarnation", testIncarnation - 1, 5, 9, false},
+		{"own record ahead of the watch", testIncarnation, 5, 4, false},
+		{"own record", testIncarnation, 5, 5, true},
+	} {
+		h := newHarness(t)
+		if tc.incarnation != 0 {
+			h.putMember(testNode, tc.incarnation, tc.version)
+		}
+		h.mirror.WatchedRevision = tc.watched
+		compare, ok := h.membership.IncarnationCompare()
+		want := protocol.Compare{}
+		if tc.want {
+			want = protocol.Compare{Key: storage.MemberKey(testNode), Version: tc.version}
+		}
+		if ok != tc.want || compare != want {
+			t.Errorf("%s: got %+v, %t, want %+v, %t", tc.name, compare, ok, want, tc.want)
+		}
+	}
+}
+
 // TestLiveControllers: LiveControllers lists only members that belong to the deployment, in the
 // order of Options.Controllers.
 func TestLiveControllers(t *testing.T) {
--- a/internal/placement/dependencies.go
+++ b/internal/placement/dependencies.go
@@ -40,6 +40,9 @@
 type Membership interface {
 	// HoldsLease reports whether this controller's lease is certain not to have expired yet.
 	HoldsLease(now monotime.Micros) bool
+	// IncarnationCompare returns the condition that this incarnation's member record is unchanged. ok is false
+	// while a commit of an earlier incarnation with that condition may still change what the mirror shows.
+	IncarnationCompare() (compare protocol.Compare, ok bool)
 	// IsMember reports whether a controller is a member.
 	IsMember(node string) bool
 	// LiveControllers returns the controllers that are members, in the configured order.
--- a/internal/placement/machine_choice.go
+++ b/internal/placement/machine_choice.go
@@ -18,10 +18,11 @@
 	// newJobBytes is the maximum size in bytes that a job's first task adds to its shard, without the job's
 	// id.
 	newJobBytes = 32
-	// The limit on the records that a shard's write compares is comparesPerTxnOp for each operation of a
-	// transaction, minus reservedCompares, which are for the comparisons that the commit itself adds.
+	// The state service allows comparesPerTxnOp compares for each operation of a transaction. A shard's write
+	// takes no other job once fewer than reservedCompares and one more are left: the job adds up to three (its
+	// record, its result and the quota shares), and the commit itself adds the shard's version.
 	comparesPerTxnOp = 4
-	reservedCompares = 4
+	reservedCompares = 3
 )
 
 // machineSearch describes where to search for a task's machine.
--- a/internal/placement/machine_choice_test.go
+++ b/internal/placement/machine_choice_test.go
@@ -20,7 +20,7 @@
 		TaskResources: resources.Vector{CPUs: 2},
 		Record:        storage.OpenJob{Spec: storage.JobSpec{CPUs: 2}},
 	}
-	update := shards.NewUpdate("p", nil, &storage.Shard{})
+	update := shards.NewUpdate("p", nil, &storage.Shard{}, testFence)
 	var candidates []*candidateMachine
 	for i := 0; i < 4*sampleAboveMachines; i++ {
 		machine := &mirror.Machine{
@@ -67,7 +67,7 @@
 		lowest  bool    // whether an array of the lowest priority gets the machine
 		service bool    // whether a service of the lowest priority gets it
 	}{{0.5, true, true}, {0.9, false, true}, {1, false, false}} {
-		update := shards.NewUpdate("n-0.1", nil, &storage.Shard{Jobs: map[string]*storage.ShardJob{}})
+		update := shards.NewUpdate("n-0.1", nil, &storage.Shard{Jobs: map[string]*storage.ShardJob{}}, testFence)
 		update.ReserveBytes(int(tc.filled * float64(c.scheduler.AssignmentShardBytes())))
 		candidate := newCandidateMachine(
 			&mirror.Machine{ID: "i-1", CachedImages: map[string]bool{}},
@@ -99,3 +99,33 @@
 		}
 	}
 }
+
+// TestWriteStaysWithinCompareLimit guards against a shard's write that the state service rejects because it
+// compares too many records, and against one that takes fewer jobs than the limit allows.
+func TestWriteStaysWithinCompareLimit(t *testing.T) {
+	c := newTestController()
+	limit := comparesPerTxnOp * c.scheduler.config.MaxTxnOps
+	for claims := range 4 {
+		update := shards.NewUpdate("p", nil, &storage.Shard{Jobs: map[string]*storage.ShardJob{}}, testFence)
+		for i := range claims {
+			update.AddCompare(testFence.Key, testFence.Version)
+			update.AddCompare(storage.ScaleOutKey(mirror.TaskID{Job: "r", Index: i}.String()), 1)
+		}
+		candidate := newCandidateMachine(
+			&mirror.Machine{ID: "i-1", CachedImages: map[string]bool{}},
+			&storage.ShardMachine{Type: "m8", Zone: "a"}, resources.Vector{CPUs: 8}, update,
+		)
+		for i := range limit {
+			job := &mirror.Job{ID: mirror.TaskID{Job: "j", Index: i}.String()}
+			if !c.scheduler.machineRequest(job, ZoneConstraintOf(c.mirror, job)).Accepts(&candidate.Candidate) {
+				break
+			}
+			update.BeginJob(job)
+			update.AddCompare(storage.PartitionKey("n-0"), 1)
+		}
+		const shard, job = 1, 3 // compares of the shard, and of a job whose team has a limit
+		if got := update.Compares() + shard; got > limit || got+job <= limit {
+			t.Errorf("%d claims: got %d compares, want at most %d and no room for another job", claims, got, limit)
+		}
+	}
+}
--- a/internal/placement/placement_pass.go
+++ b/internal/placement/placement_pass.go
@@ -59,6 +59,12 @@
 	if sc.deps.Catalog.MachineTypes() == nil || !sc.deps.Membership.HoldsLease(now) {
 		return
 	}
+	if _, current := sc.deps.Membership.IncarnationCompare(); !current {
+		// An assignment of an earlier incarnation may still be applied. The watch usually shows the member record
+		// a moment after its write, so the pass stays due.
+		sc.RequestPass()
+		return
+	}
 	jobs := sc.OrderedQueue()
 	if len(jobs) == 0 {
 		return
--- a/internal/placement/preemption_test.go
+++ b/internal/placement/preemption_test.go
@@ -36,7 +36,7 @@
 			&mirror.Machine{ID: id, CachedImages: map[string]bool{}},
 			&storage.ShardMachine{Type: "m8", Zone: "a"},
 			resources.Vector{CPUs: 2},
-			shards.NewUpdate("n-0.1", nil, &storage.Shard{Jobs: map[string]*storage.ShardJob{}}),
+			shards.NewUpdate("n-0.1", nil, &storage.Shard{Jobs: map[string]*storage.ShardJob{}}, testFence),
 		)
 	}
 	candidates := []*candidateMachine{newCandidate("i-1"), newCandidate("i-2")}
--- a/internal/placement/scheduling_pass_test.go
+++ b/internal/placement/scheduling_pass_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"pipitgap/internal/durations"
+	"pipitgap/internal/membership"
+	"pipitgap/internal/mirror"
 	"pipitgap/internal/monotime"
 	"pipitgap/internal/protocol"
 	"pipitgap/internal/storage"
@@ -42,6 +44,38 @@
 	}
 }
 
+// TestPassWaitsForMemberRecord guards against an assignment beside one of an earlier incarnation that is still in
+// doubt: as long as the member record is not current, passes move no tasks and stay due.
+func TestPassWaitsForMemberRecord(t *testing.T) {
+	const job = "j-6" // rendezvous hashing selects n-0 to adopt its tasks
+	if owner := membership.RendezvousOwner(job, testControllers); owner != "n-0" {
+		t.Fatalf("rendezvous owner of %s: got %s, want n-0", job, owner)
+	}
+	for _, current := range []bool{false, true} {
+		c := newTestController()
+		c.recordNotCurrent = !current
+		c.absent = map[string]bool{"n-1": true}
+		c.mirror.Jobs[job] = &mirror.Job{
+			ID: job, Version: 1, TaskStates: make([]uint8, 1),
+			Record: storage.OpenJob{
+				Spec:       storage.JobSpec{Team: "free", Tasks: 1, CPUs: 1},
+				TaskRanges: []storage.TaskRange{{First: 0, End: 1, Partition: "n-1"}},
+			},
+		}
+		c.scheduler.RequestPass()
+		c.scheduler.RunPass(c.now)
+		if c.passes != 1 {
+			t.Errorf("record current %t: got %d passes, want 1", current, c.passes)
+		}
+		if adopted := len(c.reassigned) > 0; adopted != current {
+			t.Errorf("record current %t: got tasks adopted %t, want %t", current, adopted, current)
+		}
+		if due := c.scheduler.PassDue(c.now + monotime.Second); due == current {
+			t.Errorf("record current %t: got next pass due %t, want %t", current, due, !current)
+		}
+	}
+}
+
 // TestPassAfterCommit checks that each outcome of a shard's commit requests a pass, and that failures delay
 // it. A conflict on a job's record also delays placement of that job.
 func TestPassAfterCommit(t *testing.T) {
--- a/internal/placement/stubs_test.go
+++ b/internal/placement/stubs_test.go
@@ -28,11 +28,15 @@
 	recordWrites  testRecordWrites
 
 	leaseLost, storeUnavailable, commitAwaited, quotaWriteInFlight bool
+	recordNotCurrent                                               bool            // the member record
 	absent, cutOff                                                 map[string]bool // by controller
 	passes                                                         int             // that prepared updates
 	reassigned                                                     []storage.OpenJob
 }
 
+// testFence is the condition that the member record of controller n-0 is unchanged.
+var testFence = protocol.Compare{Key: storage.MemberKey("n-0"), Version: 2}
+
 var testControllers = []string{"n-0", "n-1", "n-2"}
 
 func newTestController() *testController {
@@ -81,7 +85,10 @@
 
 func (m testMembership) HoldsLease(monotime.Micros) bool { return !m.c.leaseLost }
 func (m testMembership) IsMember(node string) bool       { return !m.c.absent[node] }
-func (testMembership) LiveControllers() []string         { return testControllers }
+func (m testMembership) IncarnationCompare() (protocol.Compare, bool) {
+	return testFence, !m.c.recordNotCurrent
+}
+func (testMembership) LiveControllers() []string { return testControllers }
 func (testMembership) AbsentSince(_ string, now monotime.Micros) monotime.Micros {
 	return now - 2*monotime.Second
 }
--- a/internal/quota/quotashares/adjust.go
+++ b/internal/quota/quotashares/adjust.go
@@ -22,8 +22,13 @@
 
 // Adjust raises the shares for which shortages were noted since the last adjustment. It lowers shares that
 // aren't fully used, mainly when little of the limit is unallocated (see quota.DecideShare). It does nothing
-// while a commit in flight may change the inputs of the decision.
+// while a commit in flight may change the inputs of the decision. Such commits include the assignments of an
+// earlier incarnation of this controller: they use its shares, and may be applied until the member record is
+// current.
 func (m *Manager) Adjust(now monotime.Micros) {
+	if _, current := m.deps.Membership.IncarnationCompare(); !current {
+		return
+	}
 	if m.writeInFlight || m.deps.Store.Unavailable() || !m.deps.Membership.HoldsLease(now) ||
 		m.deps.Shards.CommitInFlight() {
 		return
--- a/internal/quota/quotashares/manager.go
+++ b/internal/quota/quotashares/manager.go
@@ -28,6 +28,9 @@
 type Membership interface {
 	// HoldsLease reports whether this controller's own lease is certain not to have expired.
 	HoldsLease(now monotime.Micros) bool
+	// IncarnationCompare returns the condition that this incarnation's member record is unchanged. ok is false
+	// while a commit of an earlier incarnation with that condition may still change what the mirror shows.
+	IncarnationCompare() (compare protocol.Compare, ok bool)
 	// IsMember reports whether a controller is a member.
 	IsMember(node string) bool
 	// AbsentSince returns when a controller was first seen not to be a member.
--- a/internal/quota/quotashares/manager_test.go
+++ b/internal/quota/quotashares/manager_test.go
@@ -21,6 +21,7 @@
 	mirror             *mirror.Mirror
 	members            map[string]bool
 	holdsLease         bool
+	recordNotCurrent   bool // the member record
 	unavailable        bool
 	commitInFlight     bool
 	useInDoubt         resources.Vector
@@ -33,6 +34,10 @@
 
 func (s *controllerStub) HoldsLease(monotime.Micros) bool { return s.holdsLease }
 
+func (s *controllerStub) IncarnationCompare() (protocol.Compare, bool) {
+	return protocol.Compare{Key: storage.MemberKey("n-0"), Version: 1}, !s.recordNotCurrent
+}
+
 func (s *controllerStub) IsMember(node string) bool { return s.members[node] }
 
 func (s *controllerStub) AbsentSince(string, monotime.Micros) monotime.Micros { return 0 }
@@ -226,12 +231,14 @@
 }
 
 // TestAdjustWaits checks that Adjust commits nothing while its inputs may be outdated or its commit may be
-// unsafe.
+// unsafe. The case of the member record guards against a share that is lowered below its use, because an
+// assignment of an earlier incarnation is applied while the new one decides.
 func TestAdjustWaits(t *testing.T) {
 	cases := map[string]func(*controllerStub, *Manager){
 		"a commit of a shard is in flight": func(s *controllerStub, _ *Manager) { s.commitInFlight = true },
 		"the state service is unavailable": func(s *controllerStub, _ *Manager) { s.unavailable = true },
 		"the lease may have expired":       func(s *controllerStub, _ *Manager) { s.holdsLease = false },
+		"the member record is not current": func(s *controllerStub, _ *Manager) { s.recordNotCurrent = true },
 		"another component writes shares":  func(_ *controllerStub, m *Manager) { m.BeginWrite() },
 	}
 	for name, block := range cases {
--- a/internal/shards/admission.go
+++ b/internal/shards/admission.go
@@ -18,9 +18,8 @@
 // admission assigns machines with pending claim requests to shards during one scheduling pass.
 type admission struct {
 	*Manager
-	updates       []*Update
-	memberVersion uint64          // version of this controller's member record
-	inDoubt       map[string]bool // machines that an unresolved commit may have claimed
+	updates []*Update
+	inDoubt map[string]bool // machines that an unresolved commit may have claimed
 	// takeoverUpdate is the only update of a pass that takes over machines of other controllers, from at most
 	// sourceLimit shards. Each takeover commit changes this controller's quota shares, so of several such
 	// commits only one could succeed.
@@ -33,17 +32,14 @@
 func (m *Manager) AdmitClaimRequests(updates []*Update, now monotime.Micros) []*Update {
 	// Every claim is conditional on this controller's current member record. Otherwise a delayed commit of an
 	// earlier incarnation or membership could add a machine to a second shard.
-	member := m.mirror.Members[m.cfg.Node]
-	if member.Version == 0 || member.Record.Incarnation != m.cfg.Incarnation ||
-		m.mirror.WatchedRevision < member.Version {
+	if _, current := m.membership.IncarnationCompare(); !current {
 		return updates
 	}
 	a := &admission{
-		Manager:       m,
-		updates:       updates,
-		memberVersion: member.Version,
-		inDoubt:       m.machinesInDoubt(),
-		sources:       map[string]bool{},
+		Manager: m,
+		updates: updates,
+		inDoubt: m.machinesInDoubt(),
+		sources: map[string]bool{},
 	}
 	for _, id := range m.orderedClaimRequests() {
 		a.admit(id, now)
@@ -178,7 +174,7 @@
 	update.maxBytes += need.bytes
 	update.plannedBytes += need.plannedBytes
 	update.admittedMachines[machine] = true
-	update.AddCompare(storage.MemberKey(a.cfg.Node), a.memberVersion)
+	update.requireIncarnation()
 	return true
 }
 
--- a/internal/shards/dependencies.go
+++ b/internal/shards/dependencies.go
@@ -53,6 +53,9 @@
 type Membership interface {
 	// HoldsLease reports whether this controller's lease is certainly still valid.
 	HoldsLease(now monotime.Micros) bool
+	// IncarnationCompare returns the condition that this incarnation's member record is unchanged. ok is false
+	// while a commit of an earlier incarnation with that condition may still change what the mirror shows.
+	IncarnationCompare() (compare protocol.Compare, ok bool)
 	// IsMember reports whether a controller is a member.
 	IsMember(node string) bool
 	// AbsentSince returns when this controller first observed the absence of a controller that is no member.
--- a/internal/shards/failover_test.go
+++ b/internal/shards/failover_test.go
@@ -184,7 +184,7 @@
 		{"quota write in flight", func(h *harness) { h.quotaInFlight = true }, 0},
 		{"commit in doubt", func(h *harness) {
 			shard := h.mirror.Shards["p1"]
-			h.m.Commit(NewUpdate("p1", shard, shard.Record.Clone()), h.clock)
+			h.m.Commit(NewUpdate("p1", shard, shard.Record.Clone(), h.fence()), h.clock)
 			h.completeCommit(protocol.StoreResult{Outcome: protocol.Unknown})
 		}, 1},
 	} {
--- a/internal/shards/fakes_test.go
+++ b/internal/shards/fakes_test.go
@@ -145,6 +145,18 @@
 func (h *harness) HoldsLease(monotime.Micros) bool { return true }
 func (h *harness) IsMember(node string) bool       { return h.members[node] }
 
+func (h *harness) IncarnationCompare() (protocol.Compare, bool) {
+	member := h.mirror.Members[ownNode]
+	compare := protocol.Compare{Key: storage.MemberKey(ownNode), Version: member.Version}
+	return compare, member.Record.Incarnation == ownIncarnation
+}
+
+// fence returns the condition that the member record of the Manager under test is unchanged.
+func (h *harness) fence() protocol.Compare {
+	compare, _ := h.IncarnationCompare()
+	return compare
+}
+
 func (h *harness) AbsentSince(string, monotime.Micros) monotime.Micros { return 0 }
 
 func (h *harness) LiveControllers() []string      { return h.liveControllers }
--- a/internal/shards/manager.go
+++ b/internal/shards/manager.go
@@ -121,7 +121,14 @@
 		Jobs:        map[string]*storage.ShardJob{},
 	}
 	m.newShards[name] = next
-	update := NewUpdate(name, nil, next)
+	update := m.newUpdate(name, nil, next)
 	update.maxBytes = next.MaxEncodedSize()
 	return update
 }
+
+// newUpdate returns an update whose assignments and claims are conditional on this incarnation's member record.
+// While the record is not current, the update must contain neither.
+func (m *Manager) newUpdate(name string, previous *mirror.Shard, next *storage.Shard) *Update {
+	fence, _ := m.membership.IncarnationCompare()
+	return NewUpdate(name, previous, next, fence)
+}
--- a/internal/shards/prepare.go
+++ b/internal/shards/prepare.go
@@ -46,7 +46,7 @@
 // prepareNew prepares an update of a shard whose creation isn't committed yet. It starts empty again: machines
 // and tasks from an earlier failed update are not kept.
 func (m *Manager) prepareNew(name string) *Update {
-	update := NewUpdate(name, nil, m.newShards[name])
+	update := m.newUpdate(name, nil, m.newShards[name])
 	update.changed = true
 	update.next.Machines = map[string]*storage.ShardMachine{}
 	update.next.Jobs = map[string]*storage.ShardJob{}
@@ -57,7 +57,7 @@
 // prepare prepares the next version of a shard. It releases ended attempts, removes deleted machines, corrects
 // machine states and the start marks of replicas, and drops the entries of closed jobs.
 func (m *Manager) prepare(shard *mirror.Shard, now monotime.Micros) *Update {
-	update := NewUpdate(shard.Name, shard, shard.Record.Clone())
+	update := m.newUpdate(shard.Name, shard, shard.Record.Clone())
 	update.losses = m.drains.NewLosses()
 	t := m.trackerOf(shard.Name)
 	update.changed = len(t.updatesInDoubt) > 0 // any new version of the shard resolves the updates in doubt
--- a/internal/shards/update.go
+++ b/internal/shards/update.go
@@ -21,6 +21,9 @@
 	maxBytes     int // upper bound of the encoded size, including all assignments so far
 	plannedBytes int // estimated size with all machines filled with tasks
 
+	// fence is the condition that this incarnation's member record is unchanged. An update with the zero value
+	// must not assign tasks: the state service would reject its commit.
+	fence        protocol.Compare
 	txn          protocol.Transaction // compares and writes of other records
 	comparedKeys map[string]bool      // keys that txn already compares
 
@@ -46,11 +49,13 @@
 )
 
 // NewUpdate returns an update of a shard from the previous version to next. previous is nil for a new shard.
-func NewUpdate(name string, previous *mirror.Shard, next *storage.Shard) *Update {
+// Assignments and claims of the update are conditional on fence.
+func NewUpdate(name string, previous *mirror.Shard, next *storage.Shard, fence protocol.Compare) *Update {
 	return &Update{
 		name:              name,
 		previous:          previous,
 		next:              next,
+		fence:             fence,
 		comparedKeys:      map[string]bool{},
 		freedByMachine:    map[string]resources.Vector{},
 		freedByTeam:       map[string]resources.Vector{},
@@ -126,14 +131,20 @@
 	}
 }
 
+// requireIncarnation makes the commit conditional on this incarnation's member record. A later incarnation does
+// not know which commits of this one are in doubt, so they must fail once it has written its own record.
+func (u *Update) requireIncarnation() { u.AddCompare(u.fence.Key, u.fence.Version) }
+
 // BeginJob prepares the assignment of a job's tasks. It makes the commit conditional on the version of the
-// job's record and on the absence of a result record, so that a closed job gets no new attempts.
+// job's record and on the absence of a result record, so that a closed job gets no new attempts, and on the
+// member record, so that an assignment of an ended process cannot follow one of the next process.
 func (u *Update) BeginJob(job *mirror.Job) {
 	if u.assignedJobs[job.ID] {
 		return
 	}
 	u.assignedJobs[job.ID] = true
 	u.maxBytes += len(job.ID) + jobEntryOverheadBytes
+	u.requireIncarnation()
 	u.AddCompare(storage.OpenJobKey(job.ID), job.Version)
 	u.AddCompare(storage.JobResultKey(job.ID), 0)
 }
--- a/internal/shards/updates_test.go
+++ b/internal/shards/updates_test.go
@@ -238,7 +238,7 @@
 func TestUseFreedQuota(t *testing.T) {
 	h := newHarness(t)
 	job := h.putJob("j-1", 1)
-	update := NewUpdate("p", nil, emptyShard(ownNode, ownIncarnation))
+	update := NewUpdate("p", nil, emptyShard(ownNode, ownIncarnation), h.fence())
 	update.release("i-1", mirror.TaskID{Job: "j-1"}, false, job)
 	update.release("i-1", mirror.TaskID{Job: "j-9"}, false, nil) // no job record: resources unknown
 	if !update.UseFreedQuota("team", resources.Vector{CPUs: 2}) {
