A reloaded mirror is ready only once it contains the controller's own commits

What callers could see: a task on two machines.

Cause: while a mirror is read anew (a compacted or far too long watch), a commit of before may still succeed. If it is applied after the last list was read and answered before the lists replace the mirror, only the replaced mirror held it. If nothing else had changed, the new mirror was ready at once, and the next pass saw the commit's tasks as pending: a decision on knowledge that lacks an own, applied assignment, which the shard's commit had just resolved as certain.

Fix: the new mirror is ready once the watch has reached the newest revision that the replaced one had seen, as for lists of different revisions. At a start there is none, so nothing waits there.

Measured: TestLoadIsNotReadyBeforeOwnCommits failed before (ready at revision 5 without the commit of revision 9) and passes; the package's tests are green.

--- a/internal/mirror/load.go
+++ b/internal/mirror/load.go
@@ -117,19 +117,21 @@
 }
 
 // install replaces the records of the replica's mirror by the loaded ones. The mirror is ready at once if no
-// list is newer than the first page; otherwise the watch must first reach the newest revision.
+// list, and no own commit that the replaced mirror held, is newer than the first page; otherwise the watch must
+// first reach the newest of them.
 func (l *load) install() {
 	r := l.replica
+	newest := max(l.lastRevision, r.mirror.NewestRevision)
 	jobs, machineCount, shards := len(l.mirror.Jobs), len(l.mirror.Machines), len(l.mirror.Shards)
 	r.watch.freshAt = max(r.watch.freshAt, l.sentAt)
 	r.observer.BeforeReplace(l.mirror)
-	r.mirror.Replace(l.mirror, l.firstRevision, max(l.lastRevision, r.mirror.NewestRevision))
-	r.loading, r.loaded, r.loadedRevision = false, true, l.lastRevision
+	r.mirror.Replace(l.mirror, l.firstRevision, newest)
+	r.loading, r.loaded, r.loadedRevision = false, true, newest
 	r.observer.Replaced()
 	r.watch.nextAt = 0
 	r.log.Info("mirror loaded", "jobs", jobs, "machines", machineCount, "shards", shards,
 		"revision", l.lastRevision)
-	if l.firstRevision >= l.lastRevision {
+	if l.firstRevision >= newest {
 		r.markReady()
 	}
 }
--- a/internal/mirror/replica_test.go
+++ b/internal/mirror/replica_test.go
@@ -8,6 +8,7 @@
 	"pipitgap/internal/protocol"
 	"pipitgap/internal/ratelimit"
 	"pipitgap/internal/storage"
+	"pipitgap/internal/storage/storagetest"
 )
 
 // TestLoadIsReadyAtItsNewestRevision checks when a loaded mirror becomes ready. If records change during the
@@ -54,6 +55,43 @@
 	}
 }
 
+// TestLoadIsNotReadyBeforeOwnCommits guards against a second assignment of a task: a commit that succeeds after
+// the lists are read, and before they replace the mirror, is in the replaced mirror only. The new mirror must
+// not be ready before the watch has brought that commit.
+func TestLoadIsNotReadyBeforeOwnCommits(t *testing.T) {
+	rt := newReplicaTest(t)
+	rt.loadEmptyStore(5)
+	key := storage.ShardKey("p")
+	put := protocol.Op{Put: key, Value: storagetest.Shard("i-1", "a", 1, 0)}
+	rt.Commit(ratelimit.PriorityShardUpdate, protocol.Transaction{Then: []protocol.Op{put}},
+		func(protocol.StoreResult) {})
+	commit := rt.nextCall(protocol.StoreCommit)
+	rt.Load()
+	rt.answerLists(5, 5, openJob("a", 3))
+	commit.callback(protocol.StoreResult{Outcome: protocol.OK, Revision: 9})
+	rt.nextCall(protocol.StoreCommit).callback(protocol.StoreResult{Outcome: protocol.OK}) // no result of job a
+	for _, step := range []struct {
+		watched uint64
+		ready   bool
+	}{{0, false}, {8, false}, {9, true}} {
+		if step.watched > 0 {
+			var events []protocol.Event
+			if step.watched >= 9 {
+				events = []protocol.Event{{Put: key, Value: put.Value, Version: 9}}
+			}
+			rt.clock.Run(testWatchInterval)
+			rt.MaintainWatch(rt.Now())
+			rt.nextCall(protocol.StoreWatch).callback(protocol.StoreResult{
+				Outcome: protocol.OK, Events: events, Revision: step.watched,
+			})
+		}
+		if rt.Ready() != step.ready || rt.Ready() && rt.mirror.VersionOf(key) != 9 {
+			t.Errorf("watched revision %d: got ready %t with the shard at version %d, want %t, and version 9 when ready",
+				step.watched, rt.Ready(), rt.mirror.VersionOf(key), step.ready)
+		}
+	}
+}
+
 // TestLoadPages checks that a load reads the next page of a list after the last key of the previous page, and
 // that it retries a failed page after a delay.
 func TestLoadPages(t *testing.T) {
