Assignments of a job with a zone rule can't succeed without each other

Cause: where a task of such a job may run depends on its other tasks, in any shard, but two of its assignments were conditional on two different shards and on a record that neither changed. So one in doubt, or one of another controller at the same moment, could be applied beside the one decided without it.

Fix: a commit that assigns tasks of such a job writes its record again, on whose version all of them are conditional (Update.BeginJob). They are applied one after another, each decided on a mirror with the previous ones. It costs one change a commit. A commit takes such a job only if its transaction has an operation and the bytes left; TakesOverMachines (before: ChangesOtherRecords) no longer follows from the number of writes.

--- a/internal/coordination/late_assignment_test.go
+++ b/internal/coordination/late_assignment_test.go
@@ -49,10 +49,10 @@
 	tightLimit = 7
 )
 
-// newLateAssignmentCluster starts a cluster in which only the machines of one controller have room, each for
-// a small service. Values are limited to 1 KiB, so that this controller owns several shards.
-func newLateAssignmentCluster(t *testing.T, seed uint64) *cluster {
-	c := newCluster(t, seed)
+// newFullCluster starts a cluster without room. Values are limited to 1 KiB, so that some controller owns several
+// shards. It returns the small services.
+func newFullCluster(t *testing.T, seed uint64) (c *cluster, small []string) {
+	c = newCluster(t, seed)
 	c.teams = []config.Team{{Name: "free"}, {Name: "tight", CPUs: tightLimit, CPUsMax: tightLimit}}
 	c.checker.Limits["tight"] = tightLimit
 	c.adjustFacts = func(cfg *config.Config) { cfg.Facts.State.ValueKB = 1 }
@@ -62,7 +62,15 @@
 	}
 	c.startWithLeader()
 	c.fillMachines(largeServiceCPUs)
-	small := c.fillMachines(smallServiceCPUs)
+	small = c.fillMachines(smallServiceCPUs)
+	c.sim.Run(second)
+	return c, small
+}
+
+// newLateAssignmentCluster starts a cluster in which only the machines of one controller, which owns several
+// shards, have room, each for a small service.
+func newLateAssignmentCluster(t *testing.T, seed uint64) *cluster {
+	c, small := newFullCluster(t, seed)
 	owner := c.nodeNames[0]
 	for _, node := range c.nodeNames {
 		if c.shardsOf(node) > c.shardsOf(owner) {
@@ -72,7 +80,8 @@
 	if c.shardsOf(owner) < 2 {
 		t.Fatalf("got %d shards of %s, want at least 2", c.shardsOf(owner), owner)
 	}
-	c.cancelOnMachinesOf(owner, small)
+	c.cancelAndWait(slices.DeleteFunc(small, func(id string) bool { return c.placeOf(id).Owner != owner })...)
+	c.sim.Run(3 * second)
 	return c
 }
 
@@ -82,7 +91,8 @@
 	var services []string
 	for range lateAssignmentMachines {
 		services = append(services,
-			c.submit(0, withService(true), withTasks(1), withCPUs(cpus), withMemoryGB(1)))
+			c.submit(0, withService(true), withTasks(1), withCPUs(cpus), withMemoryGB(1),
+				withPriority(protocol.Production)))
 	}
 	running := func() bool {
 		return !slices.ContainsFunc(services, func(id string) bool { return c.fleet.Running(id) == 0 })
@@ -93,27 +103,30 @@
 	return services
 }
 
-// cancelOnMachinesOf cancels those of the services that run on a controller's machines, and waits for their end.
-func (c *cluster) cancelOnMachinesOf(owner string, services []string) {
+// placeOf returns the recorded attempt of a service's only replica.
+func (c *cluster) placeOf(service string) mirror.RecordedAttempt {
+	c.t.Helper()
+	attempts := c.nodes[c.nodeNames[0]].controller.mirror.AttemptsOf(mirror.TaskID{Job: service})
+	if len(attempts) != 1 {
+		c.t.Fatalf("service %s: got %d attempts, want 1", service, len(attempts))
+	}
+	return attempts[0]
+}
+
+// cancelAndWait cancels services and waits until none of them runs.
+func (c *cluster) cancelAndWait(services ...string) {
 	c.t.Helper()
-	var cancelled []string
-	records := c.nodes[owner].controller.mirror
 	for _, id := range services {
-		attempt := records.AttemptsOf(mirror.TaskID{Job: id})
-		if len(attempt) == 1 && attempt[0].Owner == owner {
-			cancelled = append(cancelled, id)
-			if status := c.requestAndWait(owner, "POST", protocol.CancelPath(id), nil).Status; status != 200 {
-				c.t.Fatalf("cancellation of %s: got status %d, want 200", id, status)
-			}
+		if status := c.requestAndWait(c.nodeNames[0], "POST", protocol.CancelPath(id), nil).Status; status != 200 {
+			c.t.Fatalf("cancellation of %s: got status %d, want 200", id, status)
 		}
 	}
 	ended := func() bool {
-		return !slices.ContainsFunc(cancelled, func(id string) bool { return c.fleet.Running(id) > 0 })
+		return !slices.ContainsFunc(services, func(id string) bool { return c.fleet.Running(id) > 0 })
 	}
 	if !c.sim.RunUntil(30*second, ended) {
 		c.t.Fatal("got cancelled services that still run after 30 s, want none")
 	}
-	c.sim.Run(3 * second)
 }
 
 // shardsOf returns the number of shards that a controller owns, by the records in the state service.
--- a/internal/placement/job_placement.go
+++ b/internal/placement/job_placement.go
@@ -50,7 +50,7 @@
 		tracking:         sc.trackingOf(job.ID),
 		spotOnly:         sc.IsSpotOnly(job),
 		crashLooping:     sc.IsCrashLooping(job),
-		oneCommitAtATime: spec.OneZone || spec.Spread,
+		oneCommitAtATime: spec.HasZoneRule(),
 		assignableTasks:  spec.Tasks,
 	}
 	trials := 0
--- a/internal/placement/machine_choice.go
+++ b/internal/placement/machine_choice.go
@@ -5,7 +5,10 @@
 
 	"pipitgap/internal/mirror"
 	"pipitgap/internal/monotime"
+	"pipitgap/internal/protocol"
 	"pipitgap/internal/scheduling"
+	"pipitgap/internal/shards"
+	"pipitgap/internal/storage"
 )
 
 // candidateSampleSize is the number of candidates that a search samples.
@@ -70,10 +73,22 @@
 		Failures:         sc.failuresOf(job.ID),
 		MaxShardBytes:    sc.shardBytesFor(spec) - len(job.ID) - newJobBytes,
 		MaxShardCompares: comparesPerTxnOp*sc.config.MaxTxnOps - reservedCompares,
+		RecordBytes:      rewrittenBytes(job),
+		MaxShardWrites:   sc.config.MaxTxnOps,
+		MaxOtherBytes:    shards.MaxOtherBytes(sc.config.MaxValueBytes),
 		FleetServiceCPUs: sc.serviceCPUsAssigned,
 	}
 }
 
+// rewrittenBytes returns the size of the job's record if the commit of an assignment writes it again, and otherwise
+// 0; see shards.Update.BeginJob.
+func rewrittenBytes(job *mirror.Job) int {
+	if !job.Record.Spec.HasZoneRule() {
+		return 0
+	}
+	return storage.StoredSize(protocol.MustMarshal(&job.Record))
+}
+
 // chooseMachine returns the best machine for a task, or nil if no machine has room. It prefers spot machines
 // if the job may use them, machines that have the image, and the tightest fit. Under overload it examines a
 // random sample, and all candidates before it returns nil.
--- a/internal/placement/scheduling_pass.go
+++ b/internal/placement/scheduling_pass.go
@@ -34,7 +34,7 @@
 	// other commits would fail.
 	for _, takingOver := range []bool{false, true} {
 		for _, update := range updates {
-			if update.Changed() && update.ChangesOtherRecords() == takingOver {
+			if update.Changed() && update.TakesOverMachines() == takingOver {
 				written++
 				sc.deps.Shards.Commit(update, now)
 			}
--- a/internal/placement/task_ranges.go
+++ b/internal/placement/task_ranges.go
@@ -35,7 +35,7 @@
 // divided job share is in the job's own record.
 func (sc *Scheduler) AssignTaskRanges(spec *storage.JobSpec) []storage.TaskRange {
 	controllers := sc.deps.Reachability.ConnectedControllers()
-	if spec.Tasks == 1 || spec.Service || spec.OneZone || spec.Spread || len(controllers) == 0 {
+	if spec.Tasks == 1 || spec.Service || spec.HasZoneRule() || len(controllers) == 0 {
 		return sc.wholeJobRange(spec)
 	}
 	rooms := sc.partitionRooms(spec, controllers)
--- a/internal/placement/work_stealing.go
+++ b/internal/placement/work_stealing.go
@@ -90,7 +90,7 @@
 		return 0
 	}
 	spec, ranges := &job.Record.Spec, job.Record.TaskRanges
-	keepTogether, maxTasks := spec.OneZone || spec.Spread, room
+	keepTogether, maxTasks := spec.HasZoneRule(), room
 	if keepTogether { // a job with a zone rule moves a whole range
 		maxTasks = math.MaxInt
 	}
--- a/internal/placement/zone_constraint.go
+++ b/internal/placement/zone_constraint.go
@@ -5,8 +5,9 @@
 	"pipitgap/internal/scheduling"
 )
 
-// ZoneConstraintOf returns the zone rule of a job, with the tasks in the shards already counted. A job with a
-// zone rule is placed by one partition at a time, which assigns its tasks one commit after another.
+// ZoneConstraintOf returns the zone rule of a job, with the tasks in the shards already counted. The count is
+// complete as of the version of the job's record, and every assignment of such a job changes that version. An
+// assignment that lacks another one therefore fails; see shards.Update.BeginJob.
 func ZoneConstraintOf(records *mirror.Mirror, job *mirror.Job) *scheduling.ZoneConstraint {
 	constraint := scheduling.NewZoneConstraint(&job.Record.Spec)
 	if !constraint.RestrictsZones() {
--- a/internal/scheduling/machine_choice.go
+++ b/internal/scheduling/machine_choice.go
@@ -45,6 +45,10 @@
 	MaxBytes() int
 	// Compares returns the number of records that the write is conditional on.
 	Compares() int
+	// Writes returns the number of operations of the write's transaction.
+	Writes() int
+	// OtherBytes returns the size of the records that the transaction writes besides the shard.
+	OtherBytes() int
 	// AssignsJob reports whether the write already assigns tasks of a job.
 	AssignsJob(job string) bool
 	// FreedQuota returns the part of a team's share that the write releases and doesn't assign again.
@@ -84,7 +88,12 @@
 	FreedQuotaOnly   bool         // accept only shards whose write releases enough of the team's share
 	OnlyWrite        ShardWrite   // only write that may assign the job's tasks; nil allows any
 	MaxShardBytes    int
-	MaxShardCompares int     // a write with this many compares can't take another job
+	MaxShardCompares int // a write with this many compares can't take another job
+	// RecordBytes is the size of the job's record if an assignment writes it, or 0. It must fit into a transaction
+	// of MaxShardWrites operations that writes MaxOtherBytes besides the shard.
+	RecordBytes      int
+	MaxShardWrites   int
+	MaxOtherBytes    int
 	FleetServiceCPUs float64 // CPUs that services hold on all machines
 }
 
@@ -106,8 +115,16 @@
 	if r.FreedQuotaOnly && !r.Need.FitsIn(shard.FreedQuota(r.Spec.Team)) {
 		return false
 	}
-	return shard.MaxBytes() <= r.MaxShardBytes &&
-		(shard.Compares() < r.MaxShardCompares || shard.AssignsJob(r.JobID))
+	return shard.MaxBytes() <= r.MaxShardBytes && (shard.AssignsJob(r.JobID) || r.acceptsTransaction(shard))
+}
+
+// acceptsTransaction reports whether the transaction of a shard's write has room for another job.
+func (r *MachineRequest) acceptsTransaction(shard ShardWrite) bool {
+	if shard.Compares() >= r.MaxShardCompares {
+		return false
+	}
+	return r.RecordBytes == 0 ||
+		shard.Writes() < r.MaxShardWrites && shard.OtherBytes()+r.RecordBytes <= r.MaxOtherBytes
 }
 
 // Score returns the score of a candidate that the request accepts. The lowest score is best.
--- a/internal/scheduling/machine_choice_test.go
+++ b/internal/scheduling/machine_choice_test.go
@@ -9,13 +9,16 @@
 
 // shardWrite is a ShardWrite that returns fixed values.
 type shardWrite struct {
-	maxBytes, compares int
-	assigns            bool
-	freed              resources.Vector
+	maxBytes, compares, writes, otherBytes int
+
+	assigns bool
+	freed   resources.Vector
 }
 
 func (s *shardWrite) MaxBytes() int                      { return s.maxBytes }
 func (s *shardWrite) Compares() int                      { return s.compares }
+func (s *shardWrite) Writes() int                        { return s.writes }
+func (s *shardWrite) OtherBytes() int                    { return s.otherBytes }
 func (s *shardWrite) AssignsJob(string) bool             { return s.assigns }
 func (s *shardWrite) FreedQuota(string) resources.Vector { return s.freed }
 
@@ -95,6 +98,18 @@
 		{"shard too large", storage.JobSpec{}, func(r *MachineRequest) { r.MaxShardBytes = 99 }, nil, false},
 		{"too many compares",
 			storage.JobSpec{}, func(r *MachineRequest) { r.MaxShardCompares = 10 }, nil, false},
+		{"job's record fits", storage.JobSpec{},
+			func(r *MachineRequest) { r.RecordBytes, r.MaxShardWrites, r.MaxOtherBytes = 40, 3, 100 },
+			func(c *Candidate) { c.Shard = &shardWrite{writes: 2, otherBytes: 60} }, true},
+		{"too many writes for the job's record", storage.JobSpec{},
+			func(r *MachineRequest) { r.RecordBytes, r.MaxShardWrites, r.MaxOtherBytes = 40, 3, 100 },
+			func(c *Candidate) { c.Shard = &shardWrite{writes: 3, otherBytes: 60} }, false},
+		{"too many bytes for the job's record", storage.JobSpec{},
+			func(r *MachineRequest) { r.RecordBytes, r.MaxShardWrites, r.MaxOtherBytes = 40, 3, 100 },
+			func(c *Candidate) { c.Shard = &shardWrite{writes: 2, otherBytes: 61} }, false},
+		{"too many writes, but the write already assigns the job", storage.JobSpec{},
+			func(r *MachineRequest) { r.RecordBytes, r.MaxShardWrites, r.MaxOtherBytes = 40, 3, 100 },
+			func(c *Candidate) { c.Shard = &shardWrite{writes: 3, assigns: true} }, true},
 		{"too many compares, but the write already assigns the job",
 			storage.JobSpec{}, func(r *MachineRequest) { r.MaxShardCompares = 10 },
 			func(c *Candidate) { c.Shard = &shardWrite{compares: 10, assigns: true} }, true},
--- a/internal/shards/admission.go
+++ b/internal/shards/admission.go
@@ -224,6 +224,7 @@
 		u.txn.Then[i].Value = encoded
 		return
 	}
+	u.takesOver = true
 	u.AddCompare(key, shard.Version)
 	u.txn.Then = append(u.txn.Then, protocol.Op{Put: key, Value: encoded})
 }
--- a/internal/shards/admission_test.go
+++ b/internal/shards/admission_test.go
@@ -155,7 +155,7 @@
 	admitTakeovers := func() *Update {
 		t.Helper()
 		updates := h.m.AdmitClaimRequests(h.m.PrepareUpdates(h.clock), h.clock)
-		if len(updates) != 1 || !updates[0].ChangesOtherRecords() {
+		if len(updates) != 1 || !updates[0].TakesOverMachines() {
 			t.Fatalf("got %d updates, want 1 that writes source shards", len(updates))
 		}
 		return updates[0]
--- a/internal/shards/commit.go
+++ b/internal/shards/commit.go
@@ -50,7 +50,7 @@
 // unless the mirror already shows another version of the shard.
 func (m *Manager) handleCommitResult(update *Update, t *tracker, result protocol.StoreResult) {
 	m.passes.HandleCommitResult(result, len(update.assignedTasks))
-	if update.ChangesOtherRecords() {
+	if update.TakesOverMachines() {
 		m.takeoverLimiter.recordOutcome(result)
 	}
 	switch result.Outcome {
--- a/internal/shards/transfer.go
+++ b/internal/shards/transfer.go
@@ -24,6 +24,10 @@
 	quotaOpsPerTransfer = 2
 )
 
+// MaxOtherBytes returns the size up to which a shard's commit may write records besides the shard itself, given
+// the value size limit of the state service.
+func MaxOtherBytes(maxValueBytes int) int { return max(maxCommitBytes-maxValueBytes, maxCommitBytes/2) }
+
 // transfer is a commit that changes the owner of shards.
 type transfer struct {
 	shards []*mirror.Shard // the versions before the commit
--- a/internal/shards/update.go
+++ b/internal/shards/update.go
@@ -18,6 +18,8 @@
 	next     *storage.Shard
 	changed  bool // the next version must be written
 
+	takesOver bool // the update takes machines from shards of other controllers
+
 	maxBytes     int // upper bound of the encoded size, including all assignments so far
 	plannedBytes int // estimated size with all machines filled with tasks
 
@@ -81,9 +83,9 @@
 // Changed reports whether the next version must be written.
 func (u *Update) Changed() bool { return u.changed }
 
-// ChangesOtherRecords reports whether the update's commit also writes other records. These are the source
-// shards of machines that it takes over, and the quota shares of both controllers.
-func (u *Update) ChangesOtherRecords() bool { return len(u.txn.Then) > 0 }
+// TakesOverMachines reports whether the update takes machines from shards of other controllers. Its commit then
+// also writes these shards and the quota shares of all controllers involved.
+func (u *Update) TakesOverMachines() bool { return u.takesOver }
 
 // Machines returns the machines of the shard's next version by identifier. The caller must not modify them.
 func (u *Update) Machines() map[string]*storage.ShardMachine { return u.next.Machines }
@@ -122,6 +124,19 @@
 // Compares returns the number of other records that the update's commit compares.
 func (u *Update) Compares() int { return len(u.txn.If) }
 
+// Writes returns the number of operations of the update's commit, including that on the shard itself.
+func (u *Update) Writes() int { return 1 + len(u.txn.Then) }
+
+// OtherBytes returns the size of the records that the update's commit writes besides the shard itself, as the
+// state service counts it.
+func (u *Update) OtherBytes() int {
+	bytes := 0
+	for _, operation := range u.txn.Then {
+		bytes += storage.StoredSize(operation.Value)
+	}
+	return bytes
+}
+
 // AddCompare makes the commit conditional on the version of another record. It ignores a key that the commit
 // already compares.
 func (u *Update) AddCompare(key string, version uint64) {
@@ -138,6 +153,10 @@
 // BeginJob prepares the assignment of a job's tasks. It makes the commit conditional on the version of the
 // job's record and on the absence of a result record, so that a closed job gets no new attempts, and on the
 // member record, so that an assignment of an ended process cannot follow one of the next process.
+//
+// For a job with a zone rule, the commit also writes the job's record again, which changes its version. Where a
+// task of such a job may run depends on all other tasks of the job, in any shard, so no two assignments that are
+// decided on the same version of the record may both succeed.
 func (u *Update) BeginJob(job *mirror.Job) {
 	if u.assignedJobs[job.ID] {
 		return
@@ -147,6 +166,10 @@
 	u.requireIncarnation()
 	u.AddCompare(storage.OpenJobKey(job.ID), job.Version)
 	u.AddCompare(storage.JobResultKey(job.ID), 0)
+	if job.Record.Spec.HasZoneRule() {
+		value := protocol.MustMarshal(&job.Record)
+		u.txn.Then = append(u.txn.Then, protocol.Op{Put: storage.OpenJobKey(job.ID), Value: value})
+	}
 }
 
 // Assign assigns a task of a job to a machine of the shard. joinsRange means that the preceding attempt in the
--- a/internal/shards/updates_test.go
+++ b/internal/shards/updates_test.go
@@ -248,3 +248,45 @@
 		t.Error("second use of the released quota: got true, want false")
 	}
 }
+
+// TestBeginJobConditions guards against two assignments that are decided without each other and both succeed: those
+// of two incarnations, and those of a job with a zone rule.
+func TestBeginJobConditions(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		spec    storage.JobSpec
+		rewrite bool // the commit writes the job's record again
+	}{
+		{"no zone rule", storage.JobSpec{Tasks: 2}, false},
+		{"one zone", storage.JobSpec{Tasks: 2, OneZone: true}, true},
+		{"apart", storage.JobSpec{Tasks: 2, Spread: true}, true},
+		{"one zone, one task", storage.JobSpec{Tasks: 1, OneZone: true}, false},
+	} {
+		h := newHarness(t)
+		h.putShard("p", ownNode, ownIncarnation, "i-1")
+		h.put(storage.OpenJobKey("j-2"), protocol.MustMarshal(&storage.OpenJob{Spec: tc.spec}))
+		job := h.mirror.Jobs["j-2"]
+		update := h.m.PrepareUpdates(h.clock)[0]
+		update.BeginJob(job)
+		update.BeginJob(job) // no effect
+		want := []protocol.Compare{
+			h.fence(),
+			{Key: storage.OpenJobKey("j-2"), Version: job.Version},
+			{Key: storage.JobResultKey("j-2")},
+		}
+		if !slices.Equal(update.txn.If, want) {
+			t.Errorf("%s: got conditions %+v, want %+v", tc.name, update.txn.If, want)
+		}
+		if rewritten := update.findPut(storage.OpenJobKey("j-2")) >= 0; rewritten != tc.rewrite {
+			t.Errorf("%s: got record written %t, want %t", tc.name, rewritten, tc.rewrite)
+		}
+		wantWrites := 1
+		if tc.rewrite {
+			wantWrites = 2
+		}
+		if update.Writes() != wantWrites || update.OtherBytes() > 0 != tc.rewrite || update.TakesOverMachines() {
+			t.Errorf("%s: got %d writes, %d other bytes, takes over machines %t; want %d, above 0: %t, false",
+				tc.name, update.Writes(), update.OtherBytes(), update.TakesOverMachines(), wantWrites, tc.rewrite)
+		}
+	}
+}
--- a/internal/storage/records.go
+++ b/internal/storage/records.go
@@ -110,6 +110,9 @@
 	return s.Zone == "" || zone == "" || s.Zone == zone
 }
 
+// HasZoneRule reports whether the zones of the job's other tasks restrict where a task may run.
+func (s *JobSpec) HasZoneRule() bool { return (s.OneZone || s.Spread) && s.Tasks > 1 }
+
 // JobSpecOf returns the JobSpec to store for a submission.
 func JobSpecOf(s *protocol.Submission) JobSpec {
 	return JobSpec{
