A drain's permit isn't used while its return is in doubt

Cause: an owner that returns an unused permit may get no answer. If the budget then allows the stop again, or another owner or incarnation finds the permit in the record, the replica is stopped under it, and the late return removes the permit of a stopped replica: the other controllers count the replica as available.

Fix: the owner uses no permit that a commit of its own may still remove, and writes the record again to resolve the doubt.

--- a/internal/drain/drainer/drainer.go
+++ b/internal/drain/drainer/drainer.go
@@ -120,11 +120,12 @@
 	deps     Dependencies
 
 	nextRunAt            monotime.Micros
-	nextPermitWriteAt    monotime.Micros            // when the next commit of permits is allowed
-	permitCommitInFlight map[string]bool            // teams with a commit of permits in flight
-	evictingSince        map[string]monotime.Micros // machines of this controller whose array tasks are being stopped
-	replacementDemand    []*autoscaling.Demand      // replicas for which the leader requests machines
-	lossCounts           map[LossCause]int          // replicas lost without a permit, by cause
+	nextPermitWriteAt    monotime.Micros             // when the next commit of permits is allowed
+	permitCommitInFlight map[string]bool             // teams with a commit of permits in flight
+	removals             map[string][]*permitRemoval // by team, those in doubt
+	evictingSince        map[string]monotime.Micros  // machines of this controller whose array tasks are being stopped
+	replacementDemand    []*autoscaling.Demand       // replicas for which the leader requests machines
+	lossCounts           map[LossCause]int           // replicas lost without a permit, by cause
 	lossesLoggedAt       monotime.Micros
 }
 
@@ -139,6 +140,7 @@
 		policy:               drain.NewPolicy(settings),
 		deps:                 deps,
 		permitCommitInFlight: map[string]bool{},
+		removals:             map[string][]*permitRemoval{},
 		evictingSince:        map[string]monotime.Micros{},
 		lossCounts:           map[LossCause]int{},
 	}
@@ -152,9 +154,7 @@
 	}
 	snapshot := d.Snapshot()
 	decision := d.policy.Decide(snapshot, d.controller())
-	for _, permit := range decision.Stop {
-		d.stopReplica(permit)
-	}
+	d.usePermits(decision.Stop)
 	if !d.hasSpareWrites(now) {
 		clear(decision.Granted)
 		decision.EvictWithoutPermits = nil
--- a/internal/drain/drainer/drainer_test.go
+++ b/internal/drain/drainer/drainer_test.go
@@ -30,6 +30,9 @@
 	team         = "web"
 	heldAttempt  = 7
 
+	ownShard        = "n-0.1"
+	ownShardVersion = 90
+
 	workerLease = 30 * monotime.Second
 	testNow     = 100 * monotime.Second
 )
@@ -62,9 +65,11 @@
 		Mirror: s.records, Clock: s, Membership: s, Store: s, Agents: s, Jobs: s, Machines: s,
 		NotePermitWrite: func() {}, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	})
+	shard := &mirror.Shard{Name: ownShard, Record: &storage.Shard{Owner: ownNode}, Version: ownShardVersion}
+	s.records.Shards[ownShard] = shard
 	for _, id := range []string{fullMachine, emptyMachine} {
 		s.records.Machines[id] = &mirror.Machine{
-			ID: id, Attempts: map[mirror.TaskID]uint64{},
+			ID: id, Shard: shard, Attempts: map[mirror.TaskID]uint64{},
 			Record: &storage.ShardMachine{Type: "m8", Zone: "a", State: storage.MachineOpen},
 		}
 		s.agents[id] = agents.New(1, 0)
@@ -191,6 +196,75 @@
 	}
 }
 
+// heldStore is the store of a controllerStub, but its commits wait for the test.
+type heldStore struct {
+	*controllerStub
+	held *stubs.HeldCommits
+}
+
+// Commit queues a commit.
+func (s heldStore) Commit(
+	priority ratelimit.Priority,
+	txn protocol.Transaction,
+	callback func(protocol.StoreResult),
+) {
+	s.held.Commit(priority, txn, callback)
+}
+
+// TestPermitIsNotUsedWhileItsRemovalIsInDoubt guards against a replica that is stopped under a permit whose
+// removal, decided a moment before, is applied later. Other controllers then count the replica as available and
+// grant another permit. The removal must also fail if another controller, or a later incarnation, owns the machine
+// by then, because these don't know of it.
+func TestPermitIsNotUsedWhileItsRemovalIsInDoubt(t *testing.T) {
+	permit := servicePermit()
+	for _, tc := range []struct {
+		name    string
+		outcome protocol.Outcome
+		answer  bool
+		stops   bool
+	}{
+		{"in flight", protocol.OK, false, false},
+		{"no answer", protocol.Unknown, true, false},
+		{"refused", protocol.Conflict, true, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := newControllerStub()
+			held := &stubs.HeldCommits{}
+			s.drainer.deps.Store = heldStore{s, held}
+			s.putPermits(permit)
+			s.report(s.agents[fullMachine].BaseToken())
+			s.drainer.writePermits(&drain.Decision{Revoked: []storage.Permit{permit}}, s.now)
+			removal := held.TakeOldest(t)
+			shard := protocol.Compare{Key: storage.ShardKey(ownShard), Version: ownShardVersion}
+			if !slices.Contains(removal.Transaction.If, shard) {
+				t.Errorf("removal: got conditions %+v, want one on the shard of the machine", removal.Transaction.If)
+			}
+			if tc.answer {
+				removal.Callback(protocol.StoreResult{Outcome: tc.outcome})
+			}
+			stopping := func() bool { return s.agents[fullMachine].IsStopping(attemptOf(permit)) }
+			s.drainer.usePermits([]storage.Permit{permit})
+			if got := stopping(); got != tc.stops {
+				t.Errorf("got replica stopped %t, want %t", got, tc.stops)
+			}
+			if tc.outcome != protocol.Unknown {
+				return
+			}
+			s.drainer.writePermits(&drain.Decision{}, s.now)
+			held.TakeOldest(t).Callback(protocol.StoreResult{Outcome: protocol.OK})
+			s.putPermits(permit) // the record has a new version, so the removal can't be applied any more
+			s.drainer.usePermits([]storage.Permit{permit})
+			if !stopping() {
+				t.Error("after the record was written again: got replica not stopped, want it stopped")
+			}
+			s.drainer.writePermits(&drain.Decision{}, s.now)
+			if len(held.Commits) > 0 {
+				t.Errorf("nothing in doubt: got %d commits, want none", len(held.Commits))
+			}
+		})
+	}
+}
+
 // TestPermitsAreWrittenWithinTheirRate guards against permit writes above their rate limit: the changes of a
 // team are one commit, and the next commit waits until the limit allows it.
 func TestPermitsAreWrittenWithinTheirRate(t *testing.T) {
