--- a/internal/coordination/late_assignment_test.go
+++ b/internal/coordination/late_assignment_test.go
@@ -4,9 +4,7 @@
 	"slices"
 	"testing"
 
-	"pipitgap/internal/config"
 	"pipitgap/internal/fake"
-	"pipitgap/internal/mirror"
 	"pipitgap/internal/monotime"
 	"pipitgap/internal/protocol"
 	"pipitgap/internal/storage"
@@ -38,35 +36,6 @@
 	lateMembers bool            // the member records that controllers write afterwards are late
 }
 
-// Machines of a late-assignment cluster, each with 8 CPUs. On each runs a large service and a small one, so that
-// none has room until a small one is cancelled.
-const (
-	lateAssignmentMachines = 36
-	largeServiceCPUs       = 6
-	smallServiceCPUs       = 2
-	// tightLimit is less than twice what a service of two small tasks uses, and leaves enough unallocated that
-	// no controller lowers its share.
-	tightLimit = 7
-)
-
-// newFullCluster starts a cluster without room. Values are limited to 1 KiB, so that some controller owns several
-// shards. It returns the small services.
-func newFullCluster(t *testing.T, seed uint64) (c *cluster, small []string) {
-	c = newCluster(t, seed)
-	c.teams = []config.Team{{Name: "free"}, {Name: "tight", CPUs: tightLimit, CPUsMax: tightLimit}}
-	c.checker.Limits["tight"] = tightLimit
-	c.adjustFacts = func(cfg *config.Config) { cfg.Facts.State.ValueKB = 1 }
-	clear(c.cloud.Capacity)
-	for _, zone := range []string{"a", "b"} {
-		c.cloud.Capacity[fake.OfferKey("m8", zone, false)] = lateAssignmentMachines / 2
-	}
-	c.startWithLeader()
-	c.fillMachines(largeServiceCPUs)
-	small = c.fillMachines(smallServiceCPUs)
-	c.sim.Run(second)
-	return c, small
-}
-
 // newLateAssignmentCluster starts a cluster in which only the machines of one controller, which owns several
 // shards, have room, each for a small service.
 func newLateAssignmentCluster(t *testing.T, seed uint64) *cluster {
@@ -85,64 +54,6 @@
 	return c
 }
 
-// fillMachines submits a service for each machine, waits until all run, and returns the services.
-func (c *cluster) fillMachines(cpus float64) []string {
-	c.t.Helper()
-	var services []string
-	for range lateAssignmentMachines {
-		services = append(services,
-			c.submit(0, withService(true), withTasks(1), withCPUs(cpus), withMemoryGB(1),
-				withPriority(protocol.Production)))
-	}
-	running := func() bool {
-		return !slices.ContainsFunc(services, func(id string) bool { return c.fleet.Running(id) == 0 })
-	}
-	if !c.sim.RunUntil(90*second, running) {
-		c.t.Fatalf("services of %v CPUs: not all run after 90 s", cpus)
-	}
-	return services
-}
-
-// placeOf returns the recorded attempt of a service's only replica.
-func (c *cluster) placeOf(service string) mirror.RecordedAttempt {
-	c.t.Helper()
-	attempts := c.nodes[c.nodeNames[0]].controller.mirror.AttemptsOf(mirror.TaskID{Job: service})
-	if len(attempts) != 1 {
-		c.t.Fatalf("service %s: got %d attempts, want 1", service, len(attempts))
-	}
-	return attempts[0]
-}
-
-// cancelAndWait cancels services and waits until none of them runs.
-func (c *cluster) cancelAndWait(services ...string) {
-	c.t.Helper()
-	for _, id := range services {
-		if status := c.requestAndWait(c.nodeNames[0], "POST", protocol.CancelPath(id), nil).Status; status != 200 {
-			c.t.Fatalf("cancellation of %s: got status %d, want 200", id, status)
-		}
-	}
-	ended := func() bool {
-		return !slices.ContainsFunc(services, func(id string) bool { return c.fleet.Running(id) > 0 })
-	}
-	if !c.sim.RunUntil(30*second, ended) {
-		c.t.Fatal("got cancelled services that still run after 30 s, want none")
-	}
-}
-
-// shardsOf returns the number of shards that a controller owns, by the records in the state service.
-func (c *cluster) shardsOf(owner string) int {
-	count := 0
-	for _, key := range c.store.Keys(storage.KeyPrefix + string(storage.KindShard) + "/") {
-		var raw protocol.Raw
-		if c.store.Read(key, &raw) {
-			if shard, err := storage.DecodeShard(raw, nil); err == nil && shard.Owner == owner {
-				count++
-			}
-		}
-	}
-	return count
-}
-
 // delay decides which transactions are late.
 func (l *lateAssignment) delay(txn *protocol.Transaction) monotime.Micros {
 	for _, op := range txn.Then {
--- a/internal/coordination/wiring_requests.go
+++ b/internal/coordination/wiring_requests.go
@@ -37,7 +37,7 @@
 		StateService:    c.store,
 		Committer:       c.replica,
 		PriorityClasses: c.api,
-		WritesInFlight:  c.recordWritesInFlight,
+		RecordWrites:    c.recordWritesInFlight,
 		Membership:      c.membership,
 	})
 }
--- a/internal/coordination/zone_rule_test.go
+++ b/internal/coordination/zone_rule_test.go
@@ -56,12 +56,8 @@
 
 // recorded reports whether the state service's version of a shard has a task of the job.
 func (l *lateZoneAssignment) recorded(key string) bool {
-	var raw protocol.Raw
-	if !l.c.store.Read(key, &raw) {
-		return false
-	}
-	shard, err := storage.DecodeShard(raw, nil)
-	return err == nil && shard.Jobs[l.job] != nil
+	shard := l.c.storedShard(key)
+	return shard != nil && shard.Jobs[l.job] != nil
 }
 
 // await waits until the late assignment has been sent.
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -33,8 +33,8 @@
 	PriorityClass(spec *storage.JobSpec, defaultClass ratelimit.Priority) ratelimit.Priority
 }
 
-// WritesInFlight is the set of jobs with a write by this controller in flight.
-type WritesInFlight interface {
+// RecordWrites is the set of jobs with a write by this controller in flight.
+type RecordWrites interface {
 	// Contains reports whether a write of the job's record is in flight.
 	Contains(job string) bool
 	// Begin adds the job to the set.
@@ -57,7 +57,7 @@
 	StateService    StateService
 	Committer       Committer
 	PriorityClasses PriorityClasses
-	WritesInFlight  WritesInFlight
+	RecordWrites    RecordWrites
 	Membership      Membership
 }
 
@@ -70,7 +70,7 @@
 	store     StateService
 	committer Committer
 	classes   PriorityClasses
-	writes    WritesInFlight
+	writes    RecordWrites
 	members   Membership
 
 	completed int // jobs completed since the start
@@ -85,7 +85,7 @@
 		store:     config.StateService,
 		committer: config.Committer,
 		classes:   config.PriorityClasses,
-		writes:    config.WritesInFlight,
+		writes:    config.RecordWrites,
 		members:   config.Membership,
 	}
 }
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -34,7 +34,7 @@
 func (d *fakeDependencies) finisher() *Finisher {
 	return NewFinisher(Config{
 		Log: slog.New(slog.DiscardHandler), Mirror: d.mirror, StateService: d, Committer: d,
-		PriorityClasses: d, WritesInFlight: d, Membership: d, Node: thisNode,
+		PriorityClasses: d, RecordWrites: d, Membership: d, Node: thisNode,
 	})
 }
 
