--- a/internal/coordination/late_assignment_test.go
+++ b/internal/coordination/late_assignment_test.go
@@ -32,6 +32,8 @@
 	name        string
 	job         []jobOption
 	downtime    monotime.Micros // of the controller whose assignment is late; 0: it stays down
+	cutOff      monotime.Micros // how long that controller first loses its workers, so that it hands shards over
+	staysUp     bool            // that controller does not end
 	allRestart  bool            // all controllers end and come back
 	lateMembers bool            // the member records that controllers write afterwards are late
 }
@@ -79,6 +81,21 @@
 	return 0
 }
 
+// cutOffWorkers cuts the controller whose assignment is late off from all workers for the time of the course.
+func (l *lateAssignment) cutOffWorkers() {
+	c := l.c
+	if l.course.cutOff == 0 {
+		return
+	}
+	for id := range c.fleet.Workers {
+		c.disconnectedPairs[id+"-"+l.victim] = true
+	}
+	c.sim.Run(l.course.cutOff)
+	for id := range c.fleet.Workers {
+		delete(c.disconnectedPairs, id+"-"+l.victim)
+	}
+}
+
 // play plays the course until all late transactions are carried out and the job runs.
 func (l *lateAssignment) play(t *testing.T) {
 	c := l.c
@@ -95,7 +112,10 @@
 	if l.course.allRestart {
 		down = c.nodeNames
 	}
-	c.kill(down...)
+	l.cutOffWorkers()
+	if !l.course.staysUp {
+		c.kill(down...)
+	}
 	if l.course.downtime > 0 {
 		c.sim.After(l.course.downtime, func() { c.start(down...) })
 	}
@@ -127,6 +147,10 @@
 			allRestart: true, lateMembers: true},
 		{name: "back after its membership ended", job: service(), downtime: 9 * second},
 		{name: "taken over by a successor", job: service()},
+		{name: "shards handed over and back", job: service(), cutOff: 15 * second, staysUp: true},
+		{name: "shards handed over, back at once", job: service(), cutOff: 15 * second, downtime: 3 * second / 10},
+		{name: "one zone, shards handed over and back", job: service(withOneZone(true), withTasks(3)),
+			cutOff: 15 * second, staysUp: true},
 		{name: "one zone, taken over by a successor", job: service(withOneZone(true), withTasks(3))},
 	} {
 		t.Run(course.name, func(t *testing.T) {
