--- a/internal/coordination/late_assignment_test.go
+++ b/internal/coordination/late_assignment_test.go
@@ -141,7 +141,7 @@
 		{name: "team with a limit, member record late", job: service(withTeam("tight"), withTasks(2)),
 			downtime: 3 * second / 10, lateMembers: true},
 		{name: "one zone", job: service(withOneZone(true), withTasks(3)), downtime: 3 * second / 10},
-		{name: "apart", job: service(withSpread(true), withTasks(4)), downtime: 3 * second / 10},
+		{name: "spread", job: service(withSpread(true), withTasks(4)), downtime: 3 * second / 10},
 		{name: "all back at once", job: service(), downtime: 3 * second / 10, allRestart: true},
 		{name: "all back at once, member records late", job: service(), downtime: 3 * second / 10,
 			allRestart: true, lateMembers: true},
--- a/internal/coordination/zone_rule_test.go
+++ b/internal/coordination/zone_rule_test.go
@@ -24,7 +24,7 @@
 // one.
 var zoneRuleCourses = []zoneRuleCourse{
 	{"one zone", withOneZone(true), "a", "a", "b"},
-	{"apart", withSpread(true), "a", "b", "b"},
+	{"spread", withSpread(true), "a", "b", "b"},
 }
 
 // lateZoneAssignment makes an assignment of a job late, and the later writes of the same shard.
--- a/internal/shards/updates_test.go
+++ b/internal/shards/updates_test.go
@@ -259,7 +259,7 @@
 	}{
 		{"no zone rule", storage.JobSpec{Tasks: 2}, false},
 		{"one zone", storage.JobSpec{Tasks: 2, OneZone: true}, true},
-		{"apart", storage.JobSpec{Tasks: 2, Spread: true}, true},
+		{"spread", storage.JobSpec{Tasks: 2, Spread: true}, true},
 		{"one zone, one task", storage.JobSpec{Tasks: 1, OneZone: true}, false},
 	} {
 		h := newHarness(t)
