--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -4,4 +4,4 @@
 for program in ../../target/pipitgap ../../target/review-2/rig; do
 	[ -x "$program" ] || { echo "$program isn't built" >&2; exit 2; }
 done
-exec ../../target/review-2/rig zone-rule .
+exec ../../target/review-2/rig scavenger .
