--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -53,6 +53,9 @@
 	}()
 	trouble := os.Getenv("TROUBLE") != "0"
 	r.event("case %s, with the disruption: %v", os.Args[1], trouble)
+	if os.Getenv("LINKS") != "" {
+		r.addLinks()
+	}
 	r.startAll()
 	broken := entry.play(r, trouble)
 	if broken != "" {
--- a/review/lab2/rig.go
+++ b/review/lab2/rig.go
@@ -56,6 +56,7 @@
 	starts   map[string]int                 // by task
 	doneAt   map[string]time.Time           // by task
 	rules    *rules                         // nil: not checked
+	links    *links                         // nil: no proxies
 
 	lateReports, lateCommands atomic.Bool // see soak.go
 }
@@ -162,7 +163,21 @@
 	return r.jobs[id]
 }
 
-func (r *rig) publicAddr(node string) string { return r.public[node] }
+// publicAddr returns the address that workers report to.
+func (r *rig) publicAddr(node string) string {
+	if r.links != nil {
+		return r.links.workersAt[node]
+	}
+	return r.public[node]
+}
+
+// peerAddr returns the address by which a controller knows another one.
+func (r *rig) peerAddr(node, other string) string {
+	if r.links != nil {
+		return r.links.peerAt[node+" "+other]
+	}
+	return r.peer[other]
+}
 
 func (r *rig) nodeIndex(node string) int { return slices.Index(r.settings.nodes, node) }
 
@@ -199,7 +214,7 @@
 		r.public[node], r.peer[node])
 	for i, other := range s.nodes {
 		if other != node {
-			fmt.Fprintf(&b, "[[known]]\nnode = %q\narea = %q\naddr = %q\n", other, s.areas[i], r.peer[other])
+			fmt.Fprintf(&b, "[[known]]\nnode = %q\narea = %q\naddr = %q\n", other, s.areas[i], r.peerAddr(node, other))
 		}
 	}
 	fmt.Fprintf(&b, "[external]\ncloud = %q\nstate = %q\n", r.cloudAt, r.stateAt[node])
--- a/review/lab2/soak.go
+++ b/review/lab2/soak.go
@@ -267,6 +267,10 @@
 	node := r.settings.nodes[s.rnd.IntN(len(r.settings.nodes))]
 	length := time.Duration((3 + 20*s.rnd.Float64()) * float64(time.Second))
 	kind := s.rnd.IntN(18)
+	if r.links != nil && s.rnd.IntN(3) != 0 {
+		kind = 18 + s.rnd.IntN(5)
+	}
+	reset := s.rnd.IntN(2) == 0
 	r.event("TROUBLE %d at %s for %v begins", kind, node, length)
 	defer r.event("TROUBLE %d at %s ends", kind, node)
 	switch kind {
@@ -351,6 +355,16 @@
 		}
 	case 17:
 		s.workers(0.3, func(w *worker, on bool) { w.cut, w.hang = false, false; w.mute = on }, length)
+	case 18: // the whole network
+		r.cut(node, true, true, true, reset, length)
+	case 19: // the state service
+		r.cut(node, true, false, false, reset, length)
+	case 20: // the workers
+		r.cut(node, false, true, false, reset, length)
+	case 21: // the peers
+		r.cut(node, false, false, true, reset, length)
+	case 22: // the state service and the peers
+		r.cut(node, true, false, true, reset, length)
 	case 13:
 		r.state.mu.Lock()
 		r.state.lost = func() bool { return rand.IntN(4) == 0 }
